--- /dev/null
+++ b/contract/mod.ts
@@ -0,0 +1,21 @@
+/**
+ * Contracts with callers: workspaces, routes, pools, calls and their outcomes.
+ *
+ * ```ts
+ * import { RetryBudget } from 'rhubarbkeel';
+ *
+ * const budget = new RetryBudget(10, { burst: 1 });
+ * console.assert(budget.tryTake() && !budget.tryTake());
+ * ```
+ *
+ * @module
+ */
+export * from './body.ts';
+export * from './call.ts';
+export * from './deadline.ts';
+export * from './load_state.ts';
+export * from './outcome.ts';
+export * from './refusal.ts';
+export * from './retry_budget.ts';
+export * from './route.ts';
+export * from './route_table.ts';
--- /dev/null
+++ b/contract/route_table.ts
@@ -0,0 +1,80 @@
+import { err, ok, type Result } from 'neverthrow';
+import { notRun, RefusalReason, type Refusal } from './refusal.ts';
+import type { Route, Workspace } from './route.ts';
+
+/** What a call says about where it belongs. */
+export interface RouteQuery {
+  /** Workspace named by the caller, if any. */
+  workspace: string | undefined;
+  /** Host name of the call, without port. */
+  host: string;
+  method: string;
+  /** Path without the query. */
+  path: string;
+}
+
+/** Finds the route of a call. */
+export class RouteTable {
+  readonly #workspaces = new Map<string, Workspace>();
+  readonly #workspaceByHost = new Map<string, Workspace>();
+  readonly #routes = new Map<string, Route[]>();
+
+  /**
+   * @param workspaces The workspaces.
+   * @param routes The routes; the longest matching path wins.
+   */
+  constructor(workspaces: readonly Workspace[], routes: readonly Route[]) {
+    for (const workspace of workspaces) {
+      this.#workspaces.set(workspace.name, workspace);
+      for (const host of workspace.hosts) this.#workspaceByHost.set(host, workspace);
+    }
+    const ordered = [...routes].sort((a, b) => b.path.length - a.path.length);
+    for (const route of ordered) {
+      const siblings = this.#routes.get(route.workspace) ?? [];
+      siblings.push(route);
+      this.#routes.set(route.workspace, siblings);
+    }
+  }
+
+  /**
+   * @param query What the call says.
+   * @returns Its route, or a refusal.
+   */
+  find(query: RouteQuery): Result<Route, Refusal> {
+    const workspace = this.#findWorkspace(query);
+    if (!workspace) {
+      const detail = `no workspace for host "${query.host}" and name "${query.workspace ?? ''}"`;
+      return err(notRun(RefusalReason.UnknownWorkspace, detail));
+    }
+    const route = this.#routes.get(workspace.name)?.find((each) => matches(each, query));
+    if (route) return ok(route);
+    const detail = `workspace "${workspace.name}" has no route for ${query.method} ${query.path}`;
+    return err(notRun(RefusalReason.UnknownRoute, detail));
+  }
+
+  /**
+   * @param workspace Name of a workspace.
+   * @param route Name of one of its routes.
+   * @returns The route, if there is one.
+   */
+  byName(workspace: string, route: string): Route | undefined {
+    return this.#routes.get(workspace)?.find((each) => each.name === route);
+  }
+
+  /** @returns All routes. */
+  get routes(): Route[] {
+    return [...this.#routes.values()].flat();
+  }
+
+  #findWorkspace(query: RouteQuery): Workspace | undefined {
+    if (query.workspace !== undefined) return this.#workspaces.get(query.workspace);
+    return this.#workspaceByHost.get(query.host);
+  }
+}
+
+function matches(route: Route, query: RouteQuery): boolean {
+  if (!route.methods.includes(query.method)) return false;
+  if (!query.path.startsWith(route.path)) return false;
+  const next = query.path[route.path.length];
+  return next === undefined || next === '/' || route.path.endsWith('/');
+}
--- /dev/null
+++ b/daemon/daemon.ts
@@ -0,0 +1,483 @@
+import {
+  RefusalReason,
+  RouteTable,
+  notRun,
+  type Attempt,
+  type Call,
+  type Refusal,
+} from '../contract/mod.ts';
+import {
+  AttemptCounter,
+  Dispatcher,
+  Entry,
+  KeyRelay,
+  successorsOf,
+  type CallerReply,
+  type CallerRequest,
+  type Scene,
+} from '../entry/mod.ts';
+import { Event, MemoryLog, TeeLog, type EventLog } from '../event_log/mod.ts';
+import { Geography } from '../failure_domain/mod.ts';
+import { KeyOwner } from '../idempotency/mod.ts';
+import { Fleet, LifeStage, newIncarnation, type Instance } from '../instance/mod.ts';
+import {
+  FrameKind,
+  LinkTable,
+  PeerLink,
+  type Dialer,
+  type Frame,
+  type FrameChannel,
+} from '../link/mod.ts';
+import { Placement, TargetBoard, makePicker } from '../placement/mod.ts';
+import {
+  DocumentKind,
+  DocumentStore,
+  type Configuration,
+  type PlatformReader,
+} from '../platform/mod.ts';
+import { SeededRandom } from '../random/mod.ts';
+import type { Settings } from '../settings/mod.ts';
+import { VersionSpread } from '../spread/mod.ts';
+import { Guard, Quarantine, type TargetPort } from '../target/mod.ts';
+import { PauseWatch, sleep, type TimerService } from '../timer/mod.ts';
+import { handOverKeys, type HandoverResult } from './hand_over_keys.ts';
+import type { DaemonStatus } from './daemon_status.ts';
+
+/** Time that a starting daemon gives its peers to tell newer versions, in milliseconds. */
+const PEER_ANSWER_MS = 300;
+/** Peers that a starting or waking daemon asks. */
+const PEERS_ASKED = 3;
+const START_RETRY_MS = 200;
+const DRAIN_POLL_MS = 10;
+const PRUNE_PERIOD_MS = 30_000;
+
+/** What a {@linkcode Daemon} needs from outside. */
+export interface DaemonOptions {
+  settings: Settings;
+  timer: TimerService;
+  log: EventLog;
+  dialer: Dialer;
+  platform: PlatformReader;
+  target: TargetPort;
+  /** Incarnation of this run; a fresh one by default. */
+  incarnation?: string;
+}
+
+const EMPTY_ROUTES = new RouteTable([], []);
+
+/** The process beside one target: entry for callers, guard for its target, owner of keys. */
+export class Daemon {
+  readonly incarnation: string;
+  readonly entry: Entry;
+  readonly guard: Guard;
+  readonly links: LinkTable;
+  readonly spread: VersionSpread;
+  readonly owner: KeyOwner;
+  /** The most recent decisions and ends of calls. */
+  readonly journal: MemoryLog;
+  readonly #settings: Settings;
+  readonly #timer: TimerService;
+  readonly #log: EventLog;
+  readonly #store: DocumentStore;
+  readonly #board: TargetBoard;
+  readonly #quarantine: Quarantine;
+  readonly #pauseWatch: PauseWatch;
+  readonly #handoverAcks = new Map<string, (accepted: boolean) => void>();
+  readonly #stopped = new AbortController();
+  #configuration: Configuration | undefined;
+  #fleet = new Fleet(0, []);
+  #stage = LifeStage.Starting;
+  #wasIn = true;
+
+  /** @param options See {@linkcode DaemonOptions}. */
+  constructor(options: DaemonOptions) {
+    const { settings, timer, target } = options;
+    const { instance, decisions } = settings;
+    this.#settings = settings;
+    this.#timer = timer;
+    this.incarnation = options.incarnation ?? newIncarnation();
+    this.journal = new MemoryLog(decisions.journalLength);
+    this.#log = new TeeLog([options.log, this.journal]);
+    const log = this.#log;
+    const random = new SeededRandom(decisions.seed);
+    this.#store = new DocumentStore({
+      onConfiguration: (configuration) => {
+        this.#applyConfiguration(configuration);
+      },
+      onFleet: (fleet) => {
+        this.#fleet = fleet;
+      },
+    });
+    this.#quarantine = new Quarantine(timer, log, settings.quarantine);
+    this.#board = new TargetBoard(timer);
+    this.guard = new Guard({
+      instanceId: instance.id,
+      timer,
+      log,
+      port: target,
+      limitKind: decisions.limit,
+      quarantine: this.#quarantine,
+      pool: () => this.#configuration?.pool(instance.pool),
+      objection: (attempt) => this.#objectionToAttempt(attempt),
+    });
+    this.links = this.#makeLinks(options);
+    this.owner = new KeyOwner({
+      timer,
+      instanceId: instance.id,
+      region: () => this.#region,
+      canIssue: () => this.#scene.geography.isIn(instance.failureDomain),
+      incarnation: this.incarnation,
+      ...settings.keys,
+    });
+    this.entry = this.#makeEntry(random);
+    this.spread = new VersionSpread({
+      timer,
+      log,
+      random,
+      store: this.#store,
+      platform: options.platform,
+      instanceId: instance.id,
+      failureDomain: instance.failureDomain,
+      fleet: () => this.#fleet,
+      link: (watcher) => this.#linkTo(watcher),
+    });
+    this.#pauseWatch = new PauseWatch(timer);
+    this.#pauseWatch.onPause((gapMs) => {
+      void this.#resume(gapMs);
+    });
+    timer.every(PRUNE_PERIOD_MS, () => {
+      this.#board.prune((id) => this.#fleet.find(id) !== undefined);
+    });
+  }
+
+  /** @returns What operators see of the daemon. */
+  get status(): DaemonStatus {
+    const { instance } = this.#settings;
+    const traffic = this.links.links.map((link) => link.bytes);
+    return {
+      instance: instance.id,
+      pool: instance.pool,
+      failureDomain: instance.failureDomain,
+      incarnation: this.incarnation,
+      stage: this.#stage,
+      configurationVersion: this.#store.version(DocumentKind.Configuration),
+      fleetVersion: this.#store.version(DocumentKind.Fleet),
+      rejected: this.#store.rejected,
+      load: this.guard.load,
+      overload: this.guard.overload,
+      openCalls: this.entry.open,
+      links: traffic.length,
+      linkBytesSent: traffic.reduce((sum, { sent }) => sum + sent, 0),
+      linkBytesReceived: traffic.reduce((sum, { received }) => sum + received, 0),
+      keptBytes: this.owner.keptBytes,
+      isWatcher: this.spread.isWatcher,
+      platformReads: this.spread.platformReads,
+    };
+  }
+
+  /** @returns The configuration in force, if any. */
+  get configuration(): Configuration | undefined {
+    return this.#configuration;
+  }
+
+  /** @returns Where the daemon stands in its life. */
+  get stage(): LifeStage {
+    return this.#stage;
+  }
+
+  /** Learns the versions in force and begins to serve; returns once it serves or is stopped. */
+  async start(): Promise<void> {
+    const { id, failureDomain } = this.#settings.instance;
+    await this.#learnVersions();
+    if (this.#stopped.signal.aborted) return;
+    this.spread.start();
+    this.#stage = LifeStage.Live;
+    const version = this.#store.version(DocumentKind.Configuration);
+    const { incarnation } = this;
+    this.#log.write(Event.DaemonStarted, { instance: id, failureDomain, incarnation, version });
+  }
+
+  /**
+   * Serves one call of a caller.
+   *
+   * @param req The call.
+   * @returns Its answer or refusal.
+   */
+  serve(req: CallerRequest): Promise<CallerReply> {
+    this.#pauseWatch.check();
+    return this.entry.serve(req);
+  }
+
+  /**
+   * Serves a connection that a peer has opened.
+   *
+   * @param channel The connection.
+   */
+  accept(channel: FrameChannel): Promise<void> {
+    return this.links.accept(channel);
+  }
+
+  /**
+   * Stops without cutting a call: tells the peers, refuses new work, finishes
+   * what it holds, and hands its keys to a successor.
+   *
+   * @returns What became of the keys.
+   */
+  async drain(): Promise<HandoverResult> {
+    if (!this.#isLeaving) this.#leave();
+    await this.#untilIdle();
+    const result = await this.#handOver();
+    this.#log.write(Event.KeysHandedOver, { ...result });
+    await this.#untilIdle();
+    this.#stop();
+    return result;
+  }
+
+  /** Stops at once. */
+  kill(): void {
+    this.#stop();
+    this.links.terminateAll();
+  }
+
+  get #isLeaving(): boolean {
+    return this.#stage === LifeStage.Leaving;
+  }
+
+  get #region(): string | undefined {
+    return this.#configuration?.geography.regionOf(this.#settings.instance.failureDomain);
+  }
+
+  get #scene(): Scene {
+    const configuration = this.#configuration;
+    return {
+      fleet: this.#fleet,
+      geography: configuration?.geography ?? new Geography([]),
+      configurationVersion: configuration?.version ?? 0,
+      pool: (name) => configuration?.pool(name),
+    };
+  }
+
+  #makeLinks({ dialer, settings }: DaemonOptions): LinkTable {
+    const { id, failureDomain } = settings.instance;
+    return new LinkTable({
+      instanceId: id,
+      incarnation: this.incarnation,
+      failureDomain,
+      dialer,
+      onOpen: (link) => {
+        if (this.#isLeaving) link.sendFrame({ kind: FrameKind.Leaving });
+      },
+      services: {
+        timer: this.#timer,
+        log: this.#log,
+        guard: this.guard,
+        runOwned: (call) => this.#runOwned(call),
+        route: (workspace, name) => this.#configuration?.routes.byName(workspace, name),
+        version: () => this.#store.version(DocumentKind.Configuration),
+        onControl: (link, frame) => {
+          this.#handleControl(link, frame);
+        },
+        onVersion: (link, version) => {
+          this.spread.noteVersion(link, version);
+        },
+      },
+    });
+  }
+
+  #makeEntry(random: SeededRandom): Entry {
+    const { instance, decisions } = this.#settings;
+    const timer = this.#timer;
+    const log = this.#log;
+    const attempts = new AttemptCounter(this.incarnation);
+    const picker = makePicker(decisions.picker, random);
+    const scene = () => this.#scene;
+    const dispatcher = new Dispatcher({
+      timer,
+      log,
+      scene,
+      attempts,
+      peers: this.links,
+      board: this.#board,
+      quarantine: this.#quarantine,
+      placement: new Placement(instance.failureDomain, this.#board, picker),
+      onCrash: (call, fingerprint, crashed) => {
+        this.#spreadSuspicion(call, fingerprint, crashed);
+      },
+    });
+    const { owner, links: peers } = this;
+    return new Entry({
+      timer,
+      log,
+      dispatcher,
+      owner,
+      relay: new KeyRelay({ timer, owner, peers, attempts, scene }),
+      region: () => this.#region,
+      routes: () => this.#configuration?.routes ?? EMPTY_ROUTES,
+      scene,
+      objection: () => this.#objectionToCall(),
+    });
+  }
+
+  async #learnVersions(): Promise<void> {
+    while (!this.#stopped.signal.aborted) {
+      await this.spread.readOnce();
+      await this.#askPeers();
+      const hasBoth = this.#configuration !== undefined && this.#fleet.version > 0;
+      if (hasBoth) return;
+      await sleep(this.#timer, START_RETRY_MS, { signal: this.#stopped.signal });
+    }
+  }
+
+  /** A peer may have a newer version than a stale platform gives. */
+  async #askPeers(): Promise<void> {
+    const { id, failureDomain } = this.#settings.instance;
+    const others = this.#fleet.instances.filter((each) => each.id !== id);
+    const near = others.filter((each) => each.failureDomain === failureDomain);
+    const asked = [...near, ...others].slice(0, PEERS_ASKED);
+    const links = await Promise.all(asked.map((each) => this.#linkTo(each)));
+    const open = links.filter((link) => link !== undefined);
+    for (const link of open) this.spread.ask(link);
+    if (open.length > 0) await sleep(this.#timer, PEER_ANSWER_MS, { signal: this.#stopped.signal });
+  }
+
+  async #linkTo(instance: Instance): Promise<PeerLink | undefined> {
+    const opened = await this.links.open(instance);
+    return opened.isOk() && opened.value instanceof PeerLink ? opened.value : undefined;
+  }
+
+  /** After a pause, nothing from before it is trusted: links are reopened and versions read again. */
+  async #resume(gapMs: number): Promise<void> {
+    if (this.#stage !== LifeStage.Live) return;
+    this.#stage = LifeStage.Starting;
+    this.#log.write(Event.DaemonPaused, { gapMs: Math.round(gapMs) });
+    this.guard.refuseWaiting(notRun(RefusalReason.NotReady, 'the daemon was paused'));
+    this.links.terminateAll();
+    await this.spread.readOnce();
+    await this.#askPeers();
+    if (!this.#isLeaving) this.#stage = LifeStage.Live;
+    this.#log.write(Event.DaemonResumed, { version: this.#configuration?.version });
+  }
+
+  async #runOwned(call: Call): ReturnType<Entry['runOwned']> {
+    this.#pauseWatch.check();
+    return this.entry.runOwned(call);
+  }
+
+  #objectionToCall(): Refusal | undefined {
+    if (this.#stage === LifeStage.Live) return undefined;
+    if (this.#isLeaving) {
+      return notRun(RefusalReason.Leaving, 'the daemon is leaving');
+    }
+    return notRun(RefusalReason.NotReady, 'the daemon has not learned the versions in force');
+  }
+
+  #objectionToAttempt({ call }: Attempt): Refusal | undefined {
+    this.#pauseWatch.check();
+    const { instance } = this.#settings;
+    const objection = this.#objectionToCall();
+    if (objection) return objection;
+    if (!this.#scene.geography.isIn(instance.failureDomain)) {
+      const detail = `failure domain "${instance.failureDomain}" was taken out`;
+      return notRun(RefusalReason.DomainOut, detail);
+    }
+    const listed = this.#fleet.find(instance.id);
+    if (listed?.stage === LifeStage.Leaving) {
+      return notRun(RefusalReason.Leaving, 'the instance list says that the target is leaving');
+    }
+    // The route may have been bound to regions since the sender decided.
+    const route = this.#configuration?.routes.byName(call.route.workspace, call.route.name);
+    if (route?.pool !== instance.pool) {
+      return notRun(RefusalReason.UnknownRoute, `pool "${instance.pool}" does not serve the route`);
+    }
+    if (!route.homeRegions.permits(this.#region)) {
+      return notRun(RefusalReason.OutsideHomeRegions, 'the target is outside the home regions');
+    }
+    return undefined;
+  }
+
+  #applyConfiguration(configuration: Configuration): void {
+    this.#configuration = configuration;
+    const isIn = configuration.geography.isIn(this.#settings.instance.failureDomain);
+    if (!isIn) {
+      this.guard.refuseWaiting(notRun(RefusalReason.DomainOut, 'the failure domain was taken out'));
+    }
+    if (isIn && !this.#wasIn) this.guard.restartCold();
+    this.#wasIn = isIn;
+    this.guard.refresh();
+  }
+
+  #handleControl(link: PeerLink, frame: Frame): void {
+    switch (frame.kind) {
+      case FrameKind.Leaving:
+        this.#board.viewOf(link.peer.instanceId).recordLeaving();
+        break;
+      case FrameKind.Handover: {
+        const { handover } = frame;
+        const accepted = this.owner.adopt(handover);
+        const { incarnation } = handover;
+        link.sendFrame({ kind: FrameKind.HandoverAck, incarnation, accepted });
+        break;
+      }
+      case FrameKind.HandoverAck:
+        this.#handoverAcks.get(frame.incarnation)?.(frame.accepted);
+        break;
+      case FrameKind.Suspect:
+        this.#quarantine.recordCrash(frame.fingerprint, frame.instanceId);
+        break;
+      default:
+        this.spread.handle(link, frame);
+    }
+  }
+
+  #spreadSuspicion(call: Call, fingerprint: string, crashed: Instance): void {
+    const isNew = this.#quarantine.recordCrash(fingerprint, crashed.id);
+    if (!isNew) return;
+    const { geography } = this.#scene;
+    for (const link of this.links.links) {
+      const region = geography.regionOf(link.peer.failureDomain);
+      if (!call.route.homeRegions.permits(region)) continue;
+      link.sendFrame({ kind: FrameKind.Suspect, fingerprint, instanceId: crashed.id });
+    }
+  }
+
+  #leave(): void {
+    this.#stage = LifeStage.Leaving;
+    this.#log.write(Event.DaemonDraining, { instance: this.#settings.instance.id });
+    for (const link of this.links.links) link.sendFrame({ kind: FrameKind.Leaving });
+    this.guard.refuseWaiting(notRun(RefusalReason.Leaving, 'the daemon is leaving'));
+    this.owner.freeze();
+  }
+
+  async #untilIdle(): Promise<void> {
+    const endMs = this.#timer.now() + this.#settings.drainTimeoutMs;
+    while (this.#timer.now() < endMs && !this.#isIdle) await sleep(this.#timer, DRAIN_POLL_MS);
+  }
+
+  get #isIdle(): boolean {
+    const isLinkIdle = this.links.links.every((link) => link.busy === 0);
+    return this.entry.open === 0 && this.guard.isIdle && this.owner.running === 0 && isLinkIdle;
+  }
+
+  #handOver(): Promise<HandoverResult> {
+    const { geography } = this.#scene;
+    const exceptId = this.#settings.instance.id;
+    const isPermitted = ({ failureDomain }: Instance) =>
+      geography.regionOf(failureDomain) === this.#region;
+    return handOverKeys(this.owner, {
+      timer: this.#timer,
+      successors: (incarnation) =>
+        successorsOf(incarnation, { fleet: this.#fleet, exceptId, isPermitted }),
+      link: (instance) => this.#linkTo(instance),
+      acks: this.#handoverAcks,
+    });
+  }
+
+  #stop(): void {
+    this.#stopped.abort();
+    this.spread.close();
+    this.owner.close();
+    this.#pauseWatch.close();
+    this.links.closeAll();
+    this.#log.write(Event.DaemonStopped, { instance: this.#settings.instance.id });
+  }
+}
--- /dev/null
+++ b/daemon/daemon_process.ts
@@ -0,0 +1,117 @@
+import type { Route } from '../contract/mod.ts';
+import type { EventLog } from '../event_log/mod.ts';
+import { LifeStage } from '../instance/mod.ts';
+import { CallerServer, OperatorServer, PeerServer, TargetClient, WsDialer } from '../link/mod.ts';
+import { Metric, NoMetrics, StatsdMetrics, type Metrics } from '../metrics/mod.ts';
+import { HttpPlatform } from '../platform/mod.ts';
+import type { Settings } from '../settings/mod.ts';
+import { RealTimer } from '../timer/mod.ts';
+import { Daemon } from './daemon.ts';
+
+const GAUGE_PERIOD_MS = 1_000;
+
+/** Options of {@linkcode DaemonProcess.start}. */
+export interface DaemonProcessOptions {
+  settings: Settings;
+  log: EventLog;
+}
+
+/** A daemon with its servers and connections. */
+export class DaemonProcess {
+  readonly daemon: Daemon;
+  readonly #servers: { callers: CallerServer; peers: PeerServer; operators: OperatorServer };
+  readonly #target: TargetClient;
+  readonly #platform: HttpPlatform;
+  readonly #metrics: Metrics;
+
+  private constructor(
+    daemon: Daemon,
+    servers: { callers: CallerServer; peers: PeerServer; operators: OperatorServer },
+    parts: { target: TargetClient; platform: HttpPlatform; metrics: Metrics },
+  ) {
+    this.daemon = daemon;
+    this.#servers = servers;
+    this.#target = parts.target;
+    this.#platform = parts.platform;
+    this.#metrics = parts.metrics;
+  }
+
+  /**
+   * Opens the servers and starts the daemon.
+   *
+   * @param options See {@linkcode DaemonProcessOptions}.
+   * @returns The process, listening; calls are refused until the daemon serves.
+   */
+  static async start({ settings, log }: DaemonProcessOptions): Promise<DaemonProcess> {
+    const timer = new RealTimer();
+    const target = new TargetClient(settings.target.url, settings.target);
+    const platform = new HttpPlatform(settings.platform.url);
+    const metrics = makeMetrics(settings);
+    const dialer = new WsDialer();
+    const daemon = new Daemon({ settings, timer, log, dialer, platform, target });
+    const [callers, peers, operators] = await Promise.all([
+      CallerServer.listen({ ...settings.callers, serve: (req) => daemon.serve(req) }),
+      PeerServer.listen({ ...settings.peers, serve: (channel) => daemon.accept(channel) }),
+      OperatorServer.listen({ ...settings.operators, view: operatorView(daemon) }),
+    ]);
+    timer.every(GAUGE_PERIOD_MS, () => {
+      sendGauges(daemon, metrics);
+    });
+    void daemon.start();
+    const parts = { target, platform, metrics };
+    return new DaemonProcess(daemon, { callers, peers, operators }, parts);
+  }
+
+  /** @returns The port for callers. */
+  get callerPort(): number {
+    return this.#servers.callers.port;
+  }
+
+  /** @returns The port for peers. */
+  get peerPort(): number {
+    return this.#servers.peers.port;
+  }
+
+  /** @returns The port for operators. */
+  get operatorPort(): number {
+    return this.#servers.operators.port;
+  }
+
+  /** Stops without cutting a call. */
+  async drain(): Promise<void> {
+    await this.daemon.drain();
+    await this.#servers.callers.close();
+    this.#servers.peers.close();
+    this.#servers.operators.close();
+    this.#metrics.close();
+    await this.#target.close();
+    await this.#platform.close();
+  }
+}
+
+function makeMetrics({ metrics, instance }: Settings): Metrics {
+  return metrics ? new StatsdMetrics({ ...metrics, instanceId: instance.id }) : new NoMetrics();
+}
+
+function operatorView(daemon: Daemon) {
+  return {
+    isServing: () => daemon.stage === LifeStage.Live,
+    status: () => daemon.status,
+    routes: () => (daemon.configuration?.routes.routes ?? []).map(describeRoute),
+    explain: (callId: string) => daemon.journal.linesWith('call', callId),
+  };
+}
+
+function describeRoute(route: Route): object {
+  return { ...route, homeRegions: route.homeRegions.toString() };
+}
+
+function sendGauges(daemon: Daemon, metrics: Metrics): void {
+  const { load, links, configurationVersion, keptBytes } = daemon.status;
+  metrics.gauge(Metric.InFlight, load.inFlight);
+  metrics.gauge(Metric.Limit, load.limit);
+  metrics.gauge(Metric.Queued, load.queued);
+  metrics.gauge(Metric.Links, links);
+  metrics.gauge(Metric.ConfigurationVersion, configurationVersion);
+  metrics.gauge(Metric.KeptBytes, keptBytes);
+}
--- /dev/null
+++ b/daemon/main.ts
@@ -0,0 +1,46 @@
+#!/usr/bin/env node
+import { readFileSync } from 'node:fs';
+import { cac } from 'cac';
+import { ConsoleLog } from '../event_log/mod.ts';
+import { formatFinding } from '../finding/mod.ts';
+import { parseSettings } from '../settings/mod.ts';
+import { DaemonProcess } from './daemon_process.ts';
+
+const EXIT_BAD_SETTINGS = 2;
+const EXIT_FAILED = 1;
+
+const cli = cac('rhubarbkeeld');
+cli
+  .command('', 'Runs the daemon beside one target')
+  .option('--settings <file>', 'Settings in JSON with comments; "-" reads standard input')
+  .action(async (options: { settings?: string }) => {
+    await run(options.settings);
+  });
+cli.help();
+cli.parse();
+
+async function run(file: string | undefined): Promise<void> {
+  if (file === undefined) {
+    process.stderr.write('expected --settings <file>, got none\n');
+    process.exit(EXIT_BAD_SETTINGS);
+  }
+  const settings = parseSettings(file, readFileSync(file === '-' ? 0 : file, 'utf8'));
+  if (settings.isErr()) {
+    process.stderr.write(`${settings.error.map(formatFinding).join('\n')}\n`);
+    process.exit(EXIT_BAD_SETTINGS);
+  }
+  const log = new ConsoleLog();
+  const started = await DaemonProcess.start({ settings: settings.value, log });
+  stopOnSignal(started);
+}
+
+function stopOnSignal(started: DaemonProcess): void {
+  let isDraining = false;
+  const onSignal = () => {
+    if (isDraining) process.exit(EXIT_FAILED);
+    isDraining = true;
+    void started.drain().then(() => process.exit(0));
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+}
--- /dev/null
+++ b/daemon/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The daemon beside one target.
+ *
+ * @module
+ */
+export * from './daemon.ts';
+export * from './daemon_process.ts';
+export * from './daemon_status.ts';
+export * from './hand_over_keys.ts';
--- /dev/null
+++ b/demo/call_tally.ts
@@ -0,0 +1,60 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+import { Outcome } from '../contract/mod.ts';
+
+const MICROSECONDS_PER_MS = 1_000;
+
+/** Counts of one kind of call. */
+export interface KindTally {
+  sent: number;
+  answered: number;
+  notRun: number;
+  unknown: number;
+  latency: Histogram;
+}
+
+/** Counts how calls ended, and their latencies, for each kind of call. */
+export class CallTally {
+  readonly #kinds = new Map<string, KindTally>();
+
+  /**
+   * @param kind Kind of the call.
+   * @param outcome How it ended.
+   * @param elapsedMs Time between call and end, in milliseconds.
+   */
+  record(kind: string, outcome: Outcome, elapsedMs: number): void {
+    const tally = this.kind(kind);
+    tally.sent += 1;
+    tally.latency.recordValue(Math.round(elapsedMs * MICROSECONDS_PER_MS));
+    if (outcome === Outcome.Answered) tally.answered += 1;
+    else if (outcome === Outcome.NotRun) tally.notRun += 1;
+    else tally.unknown += 1;
+  }
+
+  /** @returns The kinds seen so far. */
+  get kinds(): string[] {
+    return [...this.#kinds.keys()].sort();
+  }
+
+  /**
+   * @param name Kind of call.
+   * @returns Its counts.
+   */
+  kind(name: string): KindTally {
+    let tally = this.#kinds.get(name);
+    if (!tally) {
+      const latency = build({ numberOfSignificantValueDigits: 3 });
+      tally = { sent: 0, answered: 0, notRun: 0, unknown: 0, latency };
+      this.#kinds.set(name, tally);
+    }
+    return tally;
+  }
+}
+
+/**
+ * @param latency Latencies in microseconds.
+ * @param percentile Percentile from 0 to 100.
+ * @returns The latency at that percentile, in milliseconds.
+ */
+export function percentileMs(latency: Histogram, percentile: number): number {
+  return latency.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
+}
--- /dev/null
+++ b/demo/deployment.ts
@@ -0,0 +1,159 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { readFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { parse } from 'jsonc-parser';
+import { LifeStage, type Instance } from '../instance/mod.ts';
+import { PlatformStandIn, TargetStandIn, type TargetBehaviour } from '../stand_in/mod.ts';
+import { RealTimer, sleep } from '../timer/mod.ts';
+import { freePorts } from './free_ports.ts';
+
+const READY_POLL_MS = 50;
+const READY_TIMEOUT_MS = 15_000;
+const PORTS_PER_DAEMON = 3;
+
+/** One instance of a deployment. */
+export interface Placing {
+  pool: string;
+  failureDomain: string;
+}
+
+/** Options of {@linkcode Deployment.start}. */
+export interface DeploymentOptions {
+  /** Path of the configuration, from the folder of examples. */
+  configuration: string;
+  placings: readonly Placing[];
+  behaviour?: Partial<TargetBehaviour>;
+  /** Called with each run of a call at a target. */
+  onRun?: (runId: string, target: string) => void;
+  /** Further settings of each daemon. */
+  settings?: object;
+}
+
+/** One daemon process beside its target. */
+export interface Member {
+  instance: Instance;
+  target: TargetStandIn;
+  process: ChildProcess;
+  operatorAddress: string;
+}
+
+/** Stand-ins and daemon processes that make up a small deployment on the loopback interface. */
+export class Deployment {
+  readonly platform: PlatformStandIn;
+  readonly members: readonly Member[];
+
+  private constructor(platform: PlatformStandIn, members: readonly Member[]) {
+    this.platform = platform;
+    this.members = members;
+  }
+
+  /**
+   * @param options See {@linkcode DeploymentOptions}.
+   * @returns The deployment, once every daemon serves.
+   */
+  static async start(options: DeploymentOptions): Promise<Deployment> {
+    const platform = await PlatformStandIn.listen({
+      configuration: readExample(options.configuration),
+    });
+    const ports = await freePorts(options.placings.length * PORTS_PER_DAEMON);
+    const members = await Promise.all(
+      options.placings.map((placing, index) => {
+        const own = ports.slice(index * PORTS_PER_DAEMON, (index + 1) * PORTS_PER_DAEMON);
+        return startMember(placing, own, { ...options, platformPort: platform.port, index });
+      }),
+    );
+    platform.setInstances(members.map(({ instance }) => instance));
+    const deployment = new Deployment(platform, members);
+    await deployment.#untilServing();
+    return deployment;
+  }
+
+  /** @returns Origins for callers. */
+  get origins(): string[] {
+    return this.members.map(({ instance }) => `http://${instance.callerAddress}`);
+  }
+
+  /** Stops every daemon gracefully and ends the stand-ins. */
+  async stop(): Promise<void> {
+    await Promise.all(this.members.map(stopMember));
+    for (const { target } of this.members) target.crash();
+    this.platform.close();
+  }
+
+  async #untilServing(): Promise<void> {
+    const timer = new RealTimer();
+    const endMs = timer.now() + READY_TIMEOUT_MS;
+    const waiting = new Set(this.members);
+    while (waiting.size > 0 && timer.now() < endMs) {
+      for (const member of waiting) if (await isServing(member)) waiting.delete(member);
+      await sleep(timer, READY_POLL_MS);
+    }
+    if (waiting.size > 0) throw new Error(`expected all daemons to serve, ${waiting.size} do not`);
+  }
+}
+
+/**
+ * @param path Path from the folder of examples.
+ * @returns The example's configuration as plain JSON.
+ */
+export function readExample(path: string): string {
+  const file = fileURLToPath(new URL(`../../examples/${path}`, import.meta.url));
+  return JSON.stringify(parse(readFileSync(file, 'utf8'), [], { allowTrailingComma: true }));
+}
+
+async function startMember(
+  placing: Placing,
+  [callerPort = 0, peerPort = 0, operatorPort = 0]: number[],
+  options: DeploymentOptions & { platformPort: number; index: number },
+): Promise<Member> {
+  const id = `${placing.pool}-${placing.failureDomain}`;
+  const { behaviour, onRun } = options;
+  const target = new TargetStandIn({ name: id, behaviour, onRun });
+  await target.listen();
+  const host = '127.0.0.1';
+  const settings = {
+    instance: { id, ...placing },
+    callers: { host, port: callerPort },
+    peers: { host, port: peerPort },
+    operators: { host, port: operatorPort },
+    target: { url: `http://${host}:${target.port}` },
+    platform: { url: `http://${host}:${options.platformPort}` },
+    decisions: { seed: options.index + 1 },
+    ...options.settings,
+  };
+  const instance: Instance = {
+    id,
+    ...placing,
+    peerAddress: `${host}:${peerPort}`,
+    callerAddress: `${host}:${callerPort}`,
+    stage: LifeStage.Live,
+  };
+  const operatorAddress = `${host}:${operatorPort}`;
+  return { instance, target, process: spawnDaemon(settings), operatorAddress };
+}
+
+/** Runs a daemon as a process of its own, as in a real deployment. */
+function spawnDaemon(settings: object): ChildProcess {
+  const program = fileURLToPath(new URL('../daemon/main.js', import.meta.url));
+  const child = spawn(process.execPath, [program, '--settings=-'], {
+    stdio: ['pipe', 'ignore', process.env.RHUBARBKEEL_LOG === '1' ? 'inherit' : 'ignore'],
+  });
+  child.stdin.end(JSON.stringify(settings));
+  return child;
+}
+
+async function isServing({ operatorAddress }: Member): Promise<boolean> {
+  try {
+    const res = await fetch(`http://${operatorAddress}/health`);
+    return res.ok;
+  } catch {
+    return false;
+  }
+}
+
+async function stopMember({ process: child }: Member): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  const ended = new Promise((resolve) => child.once('exit', resolve));
+  child.kill('SIGTERM');
+  await ended;
+}
--- /dev/null
+++ b/entry/dispatcher.ts
@@ -0,0 +1,250 @@
+import { err, ok, type Result } from 'neverthrow';
+import {
+  FailureKind,
+  Leg,
+  RefusalReason,
+  Repeatability,
+  ReplayableBody,
+  RetryBudget,
+  notRun,
+  unknown,
+  type Answer,
+  type Attempt,
+  type AttemptFailure,
+  type AttemptResult,
+  type Call,
+  type Pool,
+  type Refusal,
+} from '../contract/mod.ts';
+import type { Geography } from '../failure_domain/mod.ts';
+import { Event, type EventLog } from '../event_log/mod.ts';
+import type { Fleet, Instance } from '../instance/mod.ts';
+import {
+  AttemptSign,
+  expectedCostMs,
+  type Decision,
+  type Placement,
+  type TargetBoard,
+} from '../placement/mod.ts';
+import type { Quarantine } from '../target/mod.ts';
+import type { TimerService } from '../timer/mod.ts';
+import type { AttemptCounter } from './attempt_counter.ts';
+import type { PeerDirectory, PeerPort } from './peer_directory.ts';
+import { settleAttempt } from './settle_attempt.ts';
+
+const DEFAULT_RETRY_PERCENT = 10;
+const SERVER_ERROR_STATUS = 500;
+
+/** The world as a daemon sees it at one moment. */
+export interface Scene {
+  fleet: Fleet;
+  geography: Geography;
+  configurationVersion: number;
+  /**
+   * @param name Name of a pool.
+   * @returns Its rules.
+   */
+  pool(name: string): Pool | undefined;
+}
+
+/** What a {@linkcode Dispatcher} needs. */
+export interface DispatcherOptions {
+  timer: TimerService;
+  log: EventLog;
+  peers: PeerDirectory;
+  placement: Placement;
+  board: TargetBoard;
+  quarantine: Quarantine;
+  attempts: AttemptCounter;
+  /** @returns The world now. */
+  scene: () => Scene;
+  /**
+   * @param fingerprint Fingerprint of a call that was in flight when a target crashed.
+   * @param instance Instance of that target.
+   */
+  onCrash: (call: Call, fingerprint: string, instance: Instance) => void;
+}
+
+interface Try {
+  decision: Decision;
+  attempt: Attempt;
+  port: PeerPort;
+}
+
+/** Has calls executed: chooses a target, sends, and goes on to another while that is safe. */
+export class Dispatcher {
+  readonly #options: DispatcherOptions;
+  readonly #budgets = new Map<string, RetryBudget>();
+
+  /** @param options See {@linkcode DispatcherOptions}. */
+  constructor(options: DispatcherOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Executes a call.
+   *
+   * @param call The call; its body must be readable once for each attempt.
+   * @param fingerprint Fingerprint of the call, if its route asks for one.
+   * @returns Its answer, or a refusal that says whether it may have run.
+   */
+  async dispatch(call: Call, fingerprint: string | undefined): Promise<Result<Answer, Refusal>> {
+    const budget = this.#budgetOf(call.route.pool);
+    budget.recordCall();
+    const excluded = new Set<string>();
+    let mayHaveRun = false;
+    for (;;) {
+      const decided = this.#decide(call, fingerprint, excluded);
+      if (decided.isErr()) return err(conclude(decided.error, mayHaveRun));
+      const decision = decided.value;
+      excluded.add(decision.instance.id);
+      const result = await this.#try(call, decision, fingerprint);
+      if (result.isOk()) return ok(result.value);
+      const { kind, refusal } = result.error;
+      mayHaveRun ||= kind !== FailureKind.Refused;
+      if (!isRepeatable(call, result.error)) return err(conclude(refusal, mayHaveRun));
+      if (!budget.tryTake()) return err(conclude(refusal, mayHaveRun));
+    }
+  }
+
+  #decide(
+    call: Call,
+    fingerprint: string | undefined,
+    excluded: ReadonlySet<string>,
+  ): Result<Decision, Refusal> {
+    const stop = this.#reasonToStop(call, fingerprint);
+    return stop ? err(stop) : this.#choose(call, excluded);
+  }
+
+  #reasonToStop(call: Call, fingerprint: string | undefined): Refusal | undefined {
+    if (call.signal.aborted) return notRun(RefusalReason.Cancelled, 'the caller has left');
+    if (call.deadline.hasPassed) {
+      return notRun(RefusalReason.DeadlinePassed, 'the deadline passed before a target was found');
+    }
+    if (fingerprint !== undefined && this.#options.quarantine.isBlocked(fingerprint)) {
+      return notRun(RefusalReason.Quarantined, 'calls like this one coincided with target crashes');
+    }
+    return undefined;
+  }
+
+  #choose(call: Call, excluded: ReadonlySet<string>): Result<Decision, Refusal> {
+    const { fleet, geography, configurationVersion } = this.#options.scene();
+    const chosen = this.#options.placement.choose(call.route, { fleet, geography, excluded });
+    if (chosen.isOk()) this.#logDecision(call, chosen.value, configurationVersion);
+    return chosen;
+  }
+
+  async #try(
+    call: Call,
+    decision: Decision,
+    fingerprint: string | undefined,
+  ): Promise<AttemptResult> {
+    const opened = await this.#options.peers.open(decision.instance);
+    if (opened.isErr()) {
+      decision.candidate.view.begin()(AttemptSign.Lost);
+      return err({ kind: FailureKind.Refused, refusal: opened.error, load: undefined });
+    }
+    const attempt = this.#makeAttempt(call, fingerprint);
+    const ended = await this.#send({ decision, attempt, port: opened.value });
+    if (ended.isErr())
+      this.#recordFailure(call, decision.instance, { attempt, failure: ended.error });
+    return ended;
+  }
+
+  #makeAttempt(call: Call, fingerprint: string | undefined): Attempt {
+    const { sender, sequence } = this.#options.attempts.next();
+    const { configurationVersion } = this.#options.scene();
+    return { sender, sequence, leg: Leg.Guard, call, fingerprint, configurationVersion };
+  }
+
+  async #send({ decision, attempt, port }: Try): Promise<AttemptResult> {
+    const { view } = decision.candidate;
+    const startMs = this.#options.timer.now();
+    const finish = view.begin();
+    const result = await port.send(attempt);
+    const load = result.isOk() ? result.value.load : result.error.load;
+    if (load) view.recordLoad(load, this.#options.timer.now() - startMs);
+    finish(signOf(attempt.call, result));
+    const isLost = result.isErr() && result.error.kind === FailureKind.Lost;
+    if (!isLost || attempt.call.route.repeatability === Repeatability.Idempotent) return result;
+    const { timer, log, peers } = this.#options;
+    return settleAttempt(attempt, { timer, log, peers, instance: decision.instance, port });
+  }
+
+  #recordFailure(
+    call: Call,
+    instance: Instance,
+    { attempt, failure }: { attempt: Attempt; failure: AttemptFailure },
+  ): void {
+    const { kind, refusal } = failure;
+    this.#options.log.write(Event.AttemptFailed, {
+      call: call.id,
+      attempt: attempt.sequence,
+      instance: instance.id,
+      kind,
+      reason: refusal.reason,
+      detail: refusal.detail,
+    });
+    const isCrash =
+      kind !== FailureKind.Refused && !call.signal.aborted && !call.deadline.hasPassed;
+    if (!isCrash || attempt.fingerprint === undefined) return;
+    this.#options.onCrash(call, attempt.fingerprint, instance);
+  }
+
+  #logDecision(call: Call, decision: Decision, version: number): void {
+    const { route } = call;
+    const { view, proximity } = decision.candidate;
+    this.#options.log.write(Event.Decision, {
+      call: call.id,
+      route: route.name,
+      pool: route.pool,
+      choice: decision.instance.id,
+      reason: decision.reason,
+      proximity,
+      outstanding: view.outstanding,
+      waitMs: round(view.expectedWaitMs),
+      candidates: decision.candidates.map(describeCandidate).join(','),
+      leftMs: round(call.deadline.leftMs),
+      version,
+    });
+  }
+
+  #budgetOf(pool: string): RetryBudget {
+    let budget = this.#budgets.get(pool);
+    if (!budget) {
+      const percent = this.#options.scene().pool(pool)?.retryPercent ?? DEFAULT_RETRY_PERCENT;
+      budget = new RetryBudget(percent);
+      this.#budgets.set(pool, budget);
+    }
+    return budget;
+  }
+}
+
+function describeCandidate(candidate: Decision['candidate']): string {
+  return `${candidate.instance.id}:${round(expectedCostMs(candidate))}`;
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+function isRepeatable(call: Call, failure: AttemptFailure): boolean {
+  if (call.signal.aborted || call.deadline.hasPassed) return false;
+  if (failure.refusal.reason === RefusalReason.Quarantined) return false;
+  if (call.body instanceof ReplayableBody && call.body.isSpent) return false;
+  if (failure.kind === FailureKind.Refused) return true;
+  return call.route.repeatability === Repeatability.Idempotent;
+}
+
+/** An earlier attempt that may have run makes the whole call's outcome unknown. */
+function conclude(refusal: Refusal, mayHaveRun: boolean): Refusal {
+  return mayHaveRun ? unknown(refusal.reason, refusal.detail) : refusal;
+}
+
+function signOf(call: Call, result: AttemptResult): AttemptSign {
+  if (result.isOk()) {
+    return result.value.status >= SERVER_ERROR_STATUS ? AttemptSign.Failed : AttemptSign.Answered;
+  }
+  if (call.signal.aborted) return AttemptSign.Abandoned;
+  return result.error.kind === FailureKind.Refused ? AttemptSign.Refused : AttemptSign.Lost;
+}
--- /dev/null
+++ b/entry/entry.ts
@@ -0,0 +1,282 @@
+import { createHash, randomUUID } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import {
+  CollectFailure,
+  Deadline,
+  Outcome,
+  RefusalReason,
+  ReplayableBody,
+  Repeatability,
+  WholeBody,
+  collectBody,
+  limitBody,
+  notRun,
+  parseDeadlineMs,
+  unknown,
+  type Answer,
+  type Body,
+  type Call,
+  type Headers,
+  type Refusal,
+  type Route,
+  type RouteTable,
+} from '../contract/mod.ts';
+import { Event, type EventLog } from '../event_log/mod.ts';
+import type { KeyOwner } from '../idempotency/mod.ts';
+import type { TimerService } from '../timer/mod.ts';
+import type { Dispatcher, Scene } from './dispatcher.ts';
+import type { KeyRelay } from './key_relay.ts';
+
+/** Deepest chain of calls that is served. */
+const MAX_DEPTH = 32;
+/** Bodies up to this size are read into memory before the first attempt, in bytes. */
+const SMALL_BODY_BYTES = 65_536;
+/** Addresses that a refusal names at most. */
+const MAX_ADDRESSES = 4;
+
+/** A call as it arrives, before anything is known about it. */
+export interface CallerRequest {
+  workspace: string | undefined;
+  host: string;
+  method: string;
+  /** Path and query. */
+  target: string;
+  headers: Headers;
+  /** Size that the caller announced, in bytes, if it did. */
+  announcedBytes: number | undefined;
+  /** Not read before the call is known to be permitted here. */
+  body: Body;
+  deadline: string | undefined;
+  depth: string | undefined;
+  key: string | undefined;
+  /** Aborted when the caller has gone. */
+  signal: AbortSignal;
+}
+
+/** The end of a call, for its caller. */
+export interface CallerReply {
+  callId: string;
+  result: Result<Answer, Refusal>;
+  /** A fresh key for the caller's next call of this route. */
+  nextKey: string | undefined;
+}
+
+/** What an {@linkcode Entry} needs. */
+export interface EntryOptions {
+  timer: TimerService;
+  log: EventLog;
+  dispatcher: Dispatcher;
+  owner: KeyOwner;
+  relay: KeyRelay;
+  /** Region that the daemon stands in. */
+  region: () => string | undefined;
+  routes: () => RouteTable;
+  scene: () => Scene;
+  /** @returns Why the daemon accepts no calls now, if so. */
+  objection: () => Refusal | undefined;
+}
+
+/** Takes calls from callers and owns their outcomes until they are answered. */
+export class Entry {
+  readonly #options: EntryOptions;
+  #open = 0;
+
+  /** @param options See {@linkcode EntryOptions}. */
+  constructor(options: EntryOptions) {
+    this.#options = options;
+  }
+
+  /** @returns Calls that have no answer yet. */
+  get open(): number {
+    return this.#open;
+  }
+
+  /**
+   * Serves one call.
+   *
+   * @param req The call as it arrived.
+   * @returns Its answer, or a refusal that says whether it may have run.
+   */
+  async serve(req: CallerRequest): Promise<CallerReply> {
+    this.#open += 1;
+    const callId = randomUUID();
+    const startMs = this.#options.timer.now();
+    const admitted = this.#admit(req, callId);
+    const result = admitted.isErr()
+      ? err<Answer, Refusal>(admitted.error)
+      : await this.#execute(admitted.value, req);
+    this.#open -= 1;
+    this.#logEnd(callId, result, startMs);
+    return { callId, result, nextKey: this.#nextKey(admitted, result) };
+  }
+
+  /**
+   * Executes a call under a key that this daemon owns, or joins it to its execution.
+   *
+   * @param call The call; its body must be in memory as a whole.
+   * @returns Its answer or a refusal.
+   */
+  runOwned(call: Call): Promise<Result<Answer, Refusal>> {
+    return this.#options.owner.run(call, (owned) => this.#dispatchOwned(owned));
+  }
+
+  #admit(req: CallerRequest, id: string): Result<Call, Refusal> {
+    const objection = this.#options.objection();
+    if (objection) return err(objection);
+    const path = req.target.split('?', 1)[0] ?? '';
+    const { workspace, host, method } = req;
+    return this.#options
+      .routes()
+      .find({ workspace, host, method, path })
+      .andThen((route) => this.#checkHome(route))
+      .andThen((route) => checkSize(route, req))
+      .andThen((route) => this.#makeCall(route, req, id));
+  }
+
+  #makeCall(route: Route, req: CallerRequest, id: string): Result<Call, Refusal> {
+    const { method, target, headers, body, key, signal } = req;
+    return parseDeadlineMs(req.deadline, route.timeoutMs).andThen((leftMs) =>
+      parseDepth(req.depth).map((depth) => ({
+        id,
+        route,
+        method,
+        target,
+        headers,
+        body,
+        deadline: new Deadline(this.#options.timer, leftMs),
+        depth,
+        key,
+        signal,
+      })),
+    );
+  }
+
+  #checkHome(route: Route): Result<Route, Refusal> {
+    const region = this.#options.region();
+    if (route.homeRegions.permits(region)) return ok(route);
+    const addresses = this.#addressesFor(route);
+    const detail = `route "${route.name}" is bound to ${route.homeRegions.toString()}, got region ${region ?? 'unknown'}`;
+    return err({ ...notRun(RefusalReason.OutsideHomeRegions, detail), addresses });
+  }
+
+  #addressesFor(route: Route): string[] {
+    const { fleet, geography } = this.#options.scene();
+    return fleet.instances
+      .filter(({ failureDomain }) => geography.isIn(failureDomain))
+      .filter(({ failureDomain }) => route.homeRegions.permits(geography.regionOf(failureDomain)))
+      .map(({ callerAddress }) => callerAddress)
+      .slice(0, MAX_ADDRESSES);
+  }
+
+  async #execute(call: Call, req: CallerRequest): Promise<Result<Answer, Refusal>> {
+    if (call.route.repeatability === Repeatability.NonIdempotent) return this.#executeKeyed(call);
+    const isSmall = req.announcedBytes !== undefined && req.announcedBytes <= SMALL_BODY_BYTES;
+    if (!isSmall && !call.route.quarantine) return this.#executeStreamed(call);
+    const limit = Math.min(call.route.bodyLimitBytes, SMALL_BODY_BYTES);
+    const body = await collectBody(call.body, isSmall ? limit : call.route.bodyLimitBytes);
+    if (body.isErr()) return err(bodyRefusal(body.error, call.route));
+    const whole = { ...call, body: body.value };
+    return this.#untilDeadline(whole, fingerprintOf(whole));
+  }
+
+  async #executeStreamed(call: Call): Promise<Result<Answer, Refusal>> {
+    const body = new ReplayableBody(limitBody(call.body, call.route.bodyLimitBytes));
+    const result = await this.#untilDeadline({ ...call, body }, undefined);
+    if (result.isErr()) await body.abandon();
+    return result;
+  }
+
+  async #executeKeyed(call: Call): Promise<Result<Answer, Refusal>> {
+    if (call.key === undefined) return err(this.#keyRequired(call.route));
+    const body = await collectBody(call.body, call.route.bodyLimitBytes);
+    if (body.isErr()) return err(bodyRefusal(body.error, call.route));
+    const whole = { ...call, body: body.value };
+    return this.#options.relay.run(whole, () => this.runOwned(whole));
+  }
+
+  #keyRequired(route: Route): Refusal {
+    const nextKey = this.#options.owner.issue(route);
+    if (nextKey === undefined) {
+      const detail = 'this daemon takes on no further keys, use another one';
+      const addresses = this.#addressesFor(route);
+      return { ...notRun(RefusalReason.DomainOut, detail), addresses };
+    }
+    const detail = `route "${route.name}" is not idempotent, got no Idempotency-Key`;
+    return { ...notRun(RefusalReason.KeyRequired, detail), nextKey };
+  }
+
+  #dispatchOwned(call: Call): Promise<Result<Answer, Refusal>> {
+    return this.#untilDeadline(call, fingerprintOf(call));
+  }
+
+  async #untilDeadline(
+    call: Call,
+    fingerprint: string | undefined,
+  ): Promise<Result<Answer, Refusal>> {
+    const controller = new AbortController();
+    const stop = () => {
+      controller.abort();
+    };
+    const isIdempotent = call.route.repeatability === Repeatability.Idempotent;
+    const expiry = isIdempotent ? this.#options.timer.after(call.deadline.leftMs, stop) : undefined;
+    call.signal.addEventListener('abort', stop);
+    if (call.signal.aborted) stop();
+    const { signal } = controller;
+    const result = await this.#options.dispatcher.dispatch({ ...call, signal }, fingerprint);
+    expiry?.cancel();
+    if (result.isErr()) call.signal.removeEventListener('abort', stop);
+    if (result.isErr() && call.deadline.hasPassed) return err(deadlineRefusal(result.error));
+    return result;
+  }
+
+  #nextKey(admitted: Result<Call, Refusal>, result: Result<Answer, Refusal>): string | undefined {
+    if (admitted.isErr()) return undefined;
+    const { route } = admitted.value;
+    if (route.repeatability === Repeatability.Idempotent) return undefined;
+    const given = result.isErr() ? result.error.nextKey : undefined;
+    return given ?? this.#options.owner.issue(route);
+  }
+
+  #logEnd(call: string, result: Result<Answer, Refusal>, startMs: number): void {
+    const elapsedMs = Math.round((this.#options.timer.now() - startMs) * 100) / 100;
+    const end = result.isOk()
+      ? { outcome: Outcome.Answered, status: result.value.status }
+      : { outcome: result.error.outcome, reason: result.error.reason };
+    this.#options.log.write(Event.CallAnswered, { call, ...end, elapsedMs });
+  }
+}
+
+function checkSize(route: Route, req: CallerRequest): Result<Route, Refusal> {
+  const size = req.announcedBytes;
+  if (size === undefined || size <= route.bodyLimitBytes) return ok(route);
+  const detail = `expected a body of at most ${route.bodyLimitBytes} bytes, got ${size}`;
+  return err(notRun(RefusalReason.BodyTooLarge, detail));
+}
+
+function bodyRefusal(failure: CollectFailure, route: Route): Refusal {
+  if (failure === CollectFailure.Cut) return notRun(RefusalReason.BodyCut, 'the body was cut off');
+  const detail = `expected a body of at most ${route.bodyLimitBytes} bytes, got more`;
+  return notRun(RefusalReason.BodyTooLarge, detail);
+}
+
+function deadlineRefusal(refusal: Refusal): Refusal {
+  if (refusal.outcome === Outcome.NotRun) {
+    return { ...refusal, reason: RefusalReason.DeadlinePassed };
+  }
+  return unknown(RefusalReason.DeadlinePassed, refusal.detail);
+}
+
+function parseDepth(text: string | undefined): Result<number, Refusal> {
+  if (text === undefined) return ok(0);
+  const depth = Number(text);
+  if (Number.isInteger(depth) && depth >= 0 && depth < MAX_DEPTH) return ok(depth);
+  const detail = `expected a depth below ${MAX_DEPTH}, got "${text.slice(0, 40)}"`;
+  return err(notRun(RefusalReason.TooDeep, detail));
+}
+
+function fingerprintOf(call: Call): string | undefined {
+  if (!call.route.quarantine || !(call.body instanceof WholeBody)) return undefined;
+  const { workspace, name } = call.route;
+  const subject = `${workspace}/${name} ${call.method} ${call.target}\n`;
+  return createHash('sha256').update(subject).update(call.body.bytes).digest('base64url');
+}
--- /dev/null
+++ b/entry/mod.ts
@@ -0,0 +1,18 @@
+/**
+ * The entry: takes calls from callers and owns their outcomes.
+ *
+ * ```ts
+ * import { AttemptCounter } from 'rhubarbkeel';
+ *
+ * const attempts = new AttemptCounter('incarnation');
+ * console.assert(attempts.next().sequence === 1);
+ * ```
+ *
+ * @module
+ */
+export * from './attempt_counter.ts';
+export * from './dispatcher.ts';
+export * from './entry.ts';
+export * from './key_relay.ts';
+export * from './peer_directory.ts';
+export * from './settle_attempt.ts';
--- /dev/null
+++ b/event_log/event.ts
@@ -0,0 +1,47 @@
+/** The events that the daemon logs, one line each. */
+export enum Event {
+  DaemonStarted = 'daemon-started',
+  DaemonDraining = 'daemon-draining',
+  DaemonStopped = 'daemon-stopped',
+  DaemonPaused = 'daemon-paused',
+  DaemonResumed = 'daemon-resumed',
+  Decision = 'decision',
+  CallAnswered = 'call-answered',
+  AttemptFailed = 'attempt-failed',
+  AttemptSettled = 'attempt-settled',
+  LinkOpened = 'link-opened',
+  LinkClosed = 'link-closed',
+  LinkRejected = 'link-rejected',
+  ConfigurationApplied = 'configuration-applied',
+  ConfigurationRejected = 'configuration-rejected',
+  PlatformUnreachable = 'platform-unreachable',
+  TargetColdStart = 'target-cold-start',
+  TargetWarm = 'target-warm',
+  FingerprintQuarantined = 'fingerprint-quarantined',
+  KeysHandedOver = 'keys-handed-over',
+  TaskFailed = 'task-failed',
+}
+
+/** A value that fits one field of a log line. */
+export type FieldValue = string | number | boolean | undefined;
+
+/** The fields of a log line, in the order they are printed. */
+export type Fields = Readonly<Record<string, FieldValue>>;
+
+/**
+ * @param event The event.
+ * @param fields Its fields; those without a value are left out.
+ * @returns One line of key=value pairs, with values quoted where needed.
+ */
+export function formatEvent(event: Event, fields: Fields): string {
+  const pairs = [`event=${event}`];
+  for (const [key, value] of Object.entries(fields)) {
+    if (value !== undefined) pairs.push(`${key}=${formatValue(value)}`);
+  }
+  return pairs.join(' ');
+}
+
+function formatValue(value: Exclude<FieldValue, undefined>): string {
+  const text = String(value);
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/failure_domain/failure_domain.ts
@@ -0,0 +1,21 @@
+/** Whether operators have put a failure domain into service. */
+export enum DomainState {
+  In = 'in',
+  /** Taken out by operators; accepts no new calls. */
+  Out = 'out',
+}
+
+/** A set of instances that fail together. */
+export interface FailureDomain {
+  name: string;
+  /** Name of the region it belongs to. */
+  region: string;
+  state: DomainState;
+}
+
+/** How far apart two failure domains are. */
+export enum Proximity {
+  SameDomain = 'same-domain',
+  SameRegion = 'same-region',
+  OtherRegion = 'other-region',
+}
--- /dev/null
+++ b/finding/mod.ts
@@ -0,0 +1,19 @@
+/**
+ * Findings: problems in a document, collected with their places and reported together.
+ *
+ * ```ts
+ * import { z } from 'zod';
+ * import { SourceDocument, checkDocument, formatFinding } from 'rhubarbkeel';
+ *
+ * const source = new SourceDocument('a.jsonc', '{ "prot": 80 }');
+ * const schema = z.strictObject({ port: z.number().optional() });
+ * const checked = checkDocument(source, schema);
+ * if (checked.isErr()) console.log(checked.error.map(formatFinding).join('\n'));
+ * ```
+ *
+ * @module
+ */
+export * from './check_document.ts';
+export * from './finding.ts';
+export * from './source_document.ts';
+export * from './suggest_name.ts';
--- /dev/null
+++ b/idempotency/key_owner.ts
@@ -0,0 +1,307 @@
+import { createHash } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import {
+  Deadline,
+  Outcome,
+  RefusalReason,
+  WholeBody,
+  notRun,
+  unknown,
+  type Answer,
+  type Call,
+  type Refusal,
+  type Route,
+} from '../contract/mod.ts';
+import { sleep, type Subscription, type TimerService } from '../timer/mod.ts';
+import type { Handover } from './handover.ts';
+import { exportIssuer, importIssuer } from './handover.ts';
+import { KeptAnswerBudget } from './kept_answers.ts';
+import { KeyIssuer, type KeyRecord, type KeyedResult } from './key_issuer.ts';
+import { isSigned, readKey, signKey, type KeyClaims } from './key_text.ts';
+
+const DEFAULT_LIFETIME_MS = 600_000;
+const DEFAULT_KEPT_BYTES = 8_388_608;
+/** Room reserved for a record before its call runs, in bytes. */
+const RESERVED_BYTES = 4_096;
+/** Estimated bytes of a record without its answer. */
+const RECORD_BYTES = 512;
+const PRUNE_PERIOD_MS = 1_000;
+
+/** What a {@linkcode KeyOwner} needs. */
+export interface KeyOwnerOptions {
+  timer: TimerService;
+  instanceId: string;
+  /** @returns Region of the instance. */
+  region: () => string | undefined;
+  /** @returns Whether the daemon may take on new keys; always by default. */
+  canIssue?: () => boolean;
+  incarnation: string;
+  /** Life of a key, in milliseconds. */
+  lifetimeMs?: number;
+  /** Bytes of all kept answers together. */
+  keptBytes?: number;
+}
+
+/** Executes a call once; called by the owner at most once for each key. */
+export type Execute = (call: Call) => Promise<KeyedResult>;
+
+/**
+ * Issues idempotency keys and owns the calls made under them: each key allows
+ * one execution, which every resend joins.
+ */
+export class KeyOwner {
+  readonly #options: KeyOwnerOptions;
+  readonly #timer: TimerService;
+  readonly #lifetimeMs: number;
+  readonly #own: KeyIssuer;
+  readonly #issuers = new Map<string, KeyIssuer>();
+  readonly #budget: KeptAnswerBudget;
+  readonly #pruning: Subscription;
+  #isFrozen = false;
+  #running = 0;
+
+  /** @param options See {@linkcode KeyOwnerOptions}. */
+  constructor(options: KeyOwnerOptions) {
+    this.#options = options;
+    this.#timer = options.timer;
+    this.#lifetimeMs = options.lifetimeMs ?? DEFAULT_LIFETIME_MS;
+    this.#own = new KeyIssuer(options.incarnation);
+    this.#issuers.set(options.incarnation, this.#own);
+    this.#budget = new KeptAnswerBudget(options.keptBytes ?? DEFAULT_KEPT_BYTES);
+    this.#pruning = this.#timer.every(PRUNE_PERIOD_MS, () => {
+      this.#prune();
+    });
+  }
+
+  /** @returns Executions that have not ended. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** @returns Bytes of kept answers and reservations. */
+  get keptBytes(): number {
+    return this.#budget.usedBytes;
+  }
+
+  /**
+   * @param route The route that the key is to be valid for.
+   * @returns A fresh key, or nothing while the owner is frozen.
+   */
+  issue(route: Route): string | undefined {
+    const region = this.#options.region();
+    const canIssue = this.#options.canIssue?.() ?? true;
+    if (this.#isFrozen || region === undefined || !canIssue) return undefined;
+    const claims: KeyClaims = {
+      ownerId: this.#options.instanceId,
+      region,
+      incarnation: this.#own.incarnation,
+      sequence: this.#own.nextSequence(),
+      expiresAtMs: Math.ceil(this.#timer.now() + this.#lifetimeMs),
+    };
+    return signKey(claims, route, { secret: this.#own.secret });
+  }
+
+  /**
+   * @param incarnation Incarnation of an issuing daemon.
+   * @returns Whether its keys are owned here.
+   */
+  holds(incarnation: string): boolean {
+    return this.#issuers.has(incarnation);
+  }
+
+  /**
+   * Runs a call under its key, or joins it to the execution that the key has had.
+   *
+   * @param call The call; its body must be in memory as a whole.
+   * @param execute Executes the call.
+   * @returns The answer of the one execution, or a refusal.
+   */
+  async run(call: Call, execute: Execute): Promise<KeyedResult> {
+    const checked = this.#check(call);
+    if (checked.isErr()) return err(checked.error);
+    const { issuer, claims } = checked.value;
+    const digest = digestOf(call);
+    const known = issuer.records.get(claims.sequence);
+    if (known) return this.#join(known, call, digest);
+    const started = this.#start(issuer, claims, { call, digest, execute });
+    return started.isErr() ? err(started.error) : this.#await(started.value, call);
+  }
+
+  /** Stops issuing keys and starting executions; joins still work. */
+  freeze(): void {
+    this.#isFrozen = true;
+  }
+
+  /**
+   * Gives up all keys for a successor; afterwards this owner answers nothing about them.
+   *
+   * @returns What the successor needs, once {@linkcode KeyOwner.running} is zero.
+   */
+  handOver(): Handover[] {
+    this.freeze();
+    const handovers = [...this.#issuers.values()].map((issuer) =>
+      exportIssuer(issuer, this.#timer.now()),
+    );
+    this.#issuers.clear();
+    return handovers;
+  }
+
+  /**
+   * Takes over the keys of a daemon that has stopped.
+   *
+   * @param handover What its owner gave up.
+   * @returns Whether there was room; if not, nothing is taken.
+   */
+  adopt(handover: Handover): boolean {
+    if (this.#isFrozen || this.#issuers.has(handover.incarnation)) return false;
+    const issuer = importIssuer(handover, this.#timer.now());
+    let bytes = 0;
+    for (const record of issuer.records.values()) bytes += record.bytes;
+    if (!this.#budget.tryReserve(bytes)) return false;
+    this.#issuers.set(issuer.incarnation, issuer);
+    return true;
+  }
+
+  /** Stops the periodic clean-up. */
+  close(): void {
+    this.#pruning.cancel();
+  }
+
+  #check(call: Call): Result<{ issuer: KeyIssuer; claims: KeyClaims }, Refusal> {
+    const text = call.key ?? '';
+    const read = readKey(text);
+    if (read.isErr()) return err(read.error);
+    const claims = read.value;
+    const issuer = this.#issuers.get(claims.incarnation);
+    if (!issuer) {
+      return err(unknown(RefusalReason.KeyOwnerGone, 'the key is not owned by this daemon'));
+    }
+    if (!isSigned(text, call.route, { secret: issuer.secret })) {
+      const detail = `the key was not issued for route "${call.route.name}"`;
+      return err(notRun(RefusalReason.KeyInvalid, detail));
+    }
+    return this.#checkExpiry(issuer, claims, call.route);
+  }
+
+  #checkExpiry(
+    issuer: KeyIssuer,
+    claims: KeyClaims,
+    route: Route,
+  ): Result<{ issuer: KeyIssuer; claims: KeyClaims }, Refusal> {
+    const overdueMs = this.#timer.now() + issuer.clockOffsetMs - claims.expiresAtMs;
+    if (overdueMs < 0) return ok({ issuer, claims });
+    const detail = `the key expired ${Math.round(overdueMs)} ms ago`;
+    const isKnownUnused = overdueMs < this.#lifetimeMs && !issuer.records.has(claims.sequence);
+    if (!isKnownUnused) return err(unknown(RefusalReason.KeyExpired, detail));
+    return err({ ...notRun(RefusalReason.KeyExpired, detail), nextKey: this.issue(route) });
+  }
+
+  #join(record: KeyRecord, call: Call, digest: string): Promise<KeyedResult> {
+    if (record.digest !== digest) {
+      const detail = 'the key was used before with another method, path or body';
+      return Promise.resolve(err(notRun(RefusalReason.KeyReused, detail)));
+    }
+    return this.#await(record, call);
+  }
+
+  #start(
+    issuer: KeyIssuer,
+    claims: KeyClaims,
+    { call, digest, execute }: { call: Call; digest: string; execute: Execute },
+  ): Result<KeyRecord, Refusal> {
+    if (this.#isFrozen)
+      return err(notRun(RefusalReason.Leaving, 'the owner of the key is leaving'));
+    if (!this.#budget.tryReserve(RESERVED_BYTES)) {
+      const detail = `no room for a further answer, ${this.#budget.usedBytes} bytes are kept`;
+      return err(notRun(RefusalReason.KeyStoreFull, detail));
+    }
+    const record: KeyRecord = {
+      digest,
+      expiresAtMs: claims.expiresAtMs,
+      result: this.#execute(call, execute),
+      ended: undefined,
+      bytes: RESERVED_BYTES,
+    };
+    issuer.records.set(claims.sequence, record);
+    void record.result.then((result) => {
+      this.#end(issuer, claims.sequence, result);
+    });
+    return ok(record);
+  }
+
+  async #execute(call: Call, execute: Execute): Promise<KeyedResult> {
+    this.#running += 1;
+    const leftMs = Math.max(call.deadline.leftMs, call.route.timeoutMs);
+    const deadline = new Deadline(this.#timer, leftMs);
+    const result = await execute({ ...call, deadline });
+    this.#running -= 1;
+    return result;
+  }
+
+  #end(issuer: KeyIssuer, sequence: number, result: KeyedResult): void {
+    const record = issuer.records.get(sequence);
+    if (!record) return;
+    const didNotRun = result.isErr() && result.error.outcome === Outcome.NotRun;
+    const bytes = didNotRun ? 0 : RECORD_BYTES + answerBytes(result);
+    this.#budget.exchange(record.bytes, bytes);
+    record.bytes = bytes;
+    record.ended = result;
+    if (didNotRun) issuer.records.delete(sequence);
+  }
+
+  async #await(record: KeyRecord, call: Call): Promise<KeyedResult> {
+    if (record.ended) return record.ended;
+    const waiting = new AbortController();
+    const { signal } = waiting;
+    const late = sleep(this.#timer, call.deadline.leftMs, { signal }).then(() =>
+      err<Answer, Refusal>(unknown(RefusalReason.DeadlinePassed, 'the call still runs')),
+    );
+    const result = await Promise.race([record.result, late]);
+    waiting.abort();
+    return result;
+  }
+
+  #prune(): void {
+    for (const issuer of this.#issuers.values()) {
+      const nowMs = this.#timer.now() + issuer.clockOffsetMs;
+      for (const [sequence, record] of issuer.records)
+        this.#pruneRecord(issuer, sequence, { record, nowMs });
+      const isAdopted = issuer !== this.#own;
+      if (
+        isAdopted &&
+        issuer.records.size === 0 &&
+        issuer.idleSince(nowMs) > 2 * this.#lifetimeMs
+      ) {
+        this.#issuers.delete(issuer.incarnation);
+      }
+    }
+  }
+
+  #pruneRecord(
+    issuer: KeyIssuer,
+    sequence: number,
+    { record, nowMs }: { record: KeyRecord; nowMs: number },
+  ): void {
+    const overdueMs = nowMs - record.expiresAtMs;
+    if (!record.ended || overdueMs < 0) return;
+    if (overdueMs >= this.#lifetimeMs) {
+      this.#budget.exchange(record.bytes, 0);
+      issuer.records.delete(sequence);
+    } else if (record.bytes > RECORD_BYTES) {
+      this.#budget.exchange(record.bytes, RECORD_BYTES);
+      record.bytes = RECORD_BYTES;
+      record.ended = err(unknown(RefusalReason.KeyExpired, 'the kept answer has expired'));
+    }
+  }
+}
+
+function digestOf(call: Call): string {
+  const hash = createHash('sha256').update(`${call.method} ${call.target}\n`);
+  if (call.body instanceof WholeBody) hash.update(call.body.bytes);
+  return hash.digest('base64url');
+}
+
+function answerBytes(result: KeyedResult): number {
+  if (result.isErr()) return 0;
+  return result.value.body instanceof WholeBody ? result.value.body.bytes.length : 0;
+}
--- /dev/null
+++ b/instance/instance.ts
@@ -0,0 +1,23 @@
+/** Where an instance stands in its life, as the platform's list or its own daemon says. */
+export enum LifeStage {
+  /** Not ready to accept calls yet. */
+  Starting = 'starting',
+  Live = 'live',
+  /** Finishing what it holds; accepts nothing new. */
+  Leaving = 'leaving',
+}
+
+/** One machine with a target and the daemon beside it. */
+export interface Instance {
+  /** Unique name of the instance. */
+  id: string;
+  /** Name of the pool whose target runs on it. */
+  pool: string;
+  /** Name of the failure domain it stands in. */
+  failureDomain: string;
+  /** `host:port` where its daemon accepts links from peers. */
+  peerAddress: string;
+  /** `host:port` where its daemon accepts calls. */
+  callerAddress: string;
+  stage: LifeStage;
+}
--- /dev/null
+++ b/instance/mod.ts
@@ -0,0 +1,22 @@
+/**
+ * Instances: the machines that carry a target and a daemon each.
+ *
+ * ```ts
+ * import { Fleet, LifeStage } from 'rhubarbkeel';
+ *
+ * const fleet = new Fleet(1, [{
+ *   id: 'boards-1',
+ *   pool: 'boards',
+ *   failureDomain: 'centro-a',
+ *   peerAddress: '127.0.0.1:7001',
+ *   callerAddress: '127.0.0.1:8001',
+ *   stage: LifeStage.Live,
+ * }]);
+ * console.assert(fleet.membersOf('boards').length === 1);
+ * ```
+ *
+ * @module
+ */
+export * from './fleet.ts';
+export * from './incarnation.ts';
+export * from './instance.ts';
--- /dev/null
+++ b/link/call_frames.ts
@@ -0,0 +1,163 @@
+import {
+  Deadline,
+  EMPTY_BODY,
+  FailureKind,
+  WholeBody,
+  type Answer,
+  type Attempt,
+  type AttemptFailure,
+  type Body,
+  type Call,
+  type Route,
+} from '../contract/mod.ts';
+import type { TimerService } from '../timer/mod.ts';
+import { FrameKind, type AnswerFrame, type CallFrame, type FailureFrame } from './frame.ts';
+import { flattenHeaders, pairHeaders } from './headers.ts';
+
+/**
+ * @param attempt The attempt to send.
+ * @param stream Number of its exchange.
+ * @returns The frame that begins it.
+ */
+export function toCallFrame(attempt: Attempt, stream: number): CallFrame {
+  const { call } = attempt;
+  return {
+    kind: FrameKind.Call,
+    stream,
+    sequence: attempt.sequence,
+    leg: attempt.leg,
+    callId: call.id,
+    workspace: call.route.workspace,
+    route: call.route.name,
+    method: call.method,
+    target: call.target,
+    headers: flattenHeaders(call.headers),
+    leftMs: call.deadline.leftMs,
+    depth: call.depth,
+    key: call.key ?? null,
+    fingerprint: attempt.fingerprint ?? null,
+    version: attempt.configurationVersion,
+    body: call.body instanceof WholeBody ? call.body.bytes : null,
+  };
+}
+
+/** Options of {@linkcode fromCallFrame}. */
+export interface FromCallFrameOptions {
+  timer: TimerService;
+  route: Route;
+  /** The body, if it arrives in further frames. */
+  incoming: Body | undefined;
+  /** Aborted when the sender gives up. */
+  signal: AbortSignal;
+}
+
+/**
+ * @param frame The frame that begins an attempt.
+ * @param sender Incarnation of the sending daemon.
+ * @param options See {@linkcode FromCallFrameOptions}.
+ * @returns The attempt.
+ */
+export function fromCallFrame(
+  frame: CallFrame,
+  sender: string,
+  { timer, route, incoming, signal }: FromCallFrameOptions,
+): Attempt {
+  const inline = frame.body ? new WholeBody(frame.body) : EMPTY_BODY;
+  const call: Call = {
+    id: frame.callId,
+    route,
+    method: frame.method,
+    target: frame.target,
+    headers: pairHeaders(frame.headers),
+    body: incoming ?? inline,
+    deadline: new Deadline(timer, frame.leftMs),
+    depth: frame.depth,
+    key: frame.key ?? undefined,
+    signal,
+  };
+  return {
+    sender,
+    sequence: frame.sequence,
+    leg: frame.leg,
+    call,
+    fingerprint: frame.fingerprint ?? undefined,
+    configurationVersion: frame.version,
+  };
+}
+
+/** What an end of an attempt is sent with. */
+export interface EndFrameOptions {
+  stream: number;
+  /** Version of the configuration in force at the executor. */
+  version: number;
+}
+
+/**
+ * @param answer The answer to send.
+ * @param options See {@linkcode EndFrameOptions}.
+ * @returns The frame that begins it.
+ */
+export function toAnswerFrame(answer: Answer, { stream, version }: EndFrameOptions): AnswerFrame {
+  return {
+    kind: FrameKind.Answer,
+    stream,
+    status: answer.status,
+    headers: flattenHeaders(answer.headers),
+    load: answer.load ?? null,
+    body: answer.body instanceof WholeBody ? answer.body.bytes : null,
+    version,
+  };
+}
+
+/**
+ * @param frame The frame that begins an answer.
+ * @param incoming The body, if it arrives in further frames.
+ * @returns The answer.
+ */
+export function fromAnswerFrame(frame: AnswerFrame, incoming: Body | undefined): Answer {
+  const inline = frame.body ? new WholeBody(frame.body) : EMPTY_BODY;
+  return {
+    status: frame.status,
+    headers: pairHeaders(frame.headers),
+    body: incoming ?? inline,
+    load: frame.load ?? undefined,
+  };
+}
+
+/**
+ * @param failure How an attempt ended without an answer.
+ * @param options See {@linkcode EndFrameOptions}.
+ * @returns The frame that says so.
+ */
+export function toFailureFrame(
+  failure: AttemptFailure,
+  { stream, version }: EndFrameOptions,
+): FailureFrame {
+  const { refusal } = failure;
+  // A loss at the executor is final for the sender: there is no further link to ask over.
+  const kind = failure.kind === FailureKind.Lost ? FailureKind.Unknown : failure.kind;
+  return {
+    kind: FrameKind.Failure,
+    stream,
+    failure: kind,
+    reason: refusal.reason,
+    outcome: refusal.outcome,
+    detail: refusal.detail,
+    nextKey: refusal.nextKey ?? null,
+    load: failure.load ?? null,
+    version,
+  };
+}
+
+/**
+ * @param frame The frame that ends an attempt without an answer.
+ * @returns How it ended.
+ */
+export function fromFailureFrame(frame: FailureFrame): AttemptFailure {
+  const { reason, outcome, detail } = frame;
+  return {
+    kind: frame.failure,
+    refusal: { reason, outcome, detail, nextKey: frame.nextKey ?? undefined },
+    load: frame.load ?? undefined,
+  };
+}
--- /dev/null
+++ b/link/caller_server.ts
@@ -0,0 +1,157 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { serve, type HttpBindings } from '@hono/node-server';
+import { Hono } from 'hono';
+import { err, ok } from 'neverthrow';
+import {
+  EMPTY_BODY,
+  Outcome,
+  WholeBody,
+  type Body,
+  type BodyChunk,
+  type Headers as CallHeaders,
+} from '../contract/mod.ts';
+import type { CallerReply, CallerRequest } from '../entry/mod.ts';
+import { HeaderName, endToEnd, pairHeaders } from './headers.ts';
+import { toProblem } from './problem.ts';
+
+const MAX_HEADER_BYTES = 16_384;
+/** Statuses whose answers have no body. */
+const BODILESS_STATUS = new Set([101, 204, 205, 304]);
+/** Headers of the hop between caller and daemon that are not passed to the target. */
+const OWN_HEADERS = new Set<string>([HeaderName.Deadline, HeaderName.Depth]);
+
+/** Options of {@linkcode CallerServer.listen}. */
+export interface CallerServerOptions {
+  host: string;
+  /** Port to listen on; zero for any. */
+  port: number;
+  /** Serves one call. */
+  serve: (req: CallerRequest) => Promise<CallerReply>;
+}
+
+/** Accepts calls over HTTP. */
+export class CallerServer {
+  readonly #server: Server;
+
+  private constructor(server: Server) {
+    this.#server = server;
+  }
+
+  /**
+   * @param options See {@linkcode CallerServerOptions}.
+   * @returns The server, once it listens.
+   */
+  static listen(options: CallerServerOptions): Promise<CallerServer> {
+    const app = new Hono<{ Bindings: HttpBindings }>();
+    app.all('*', async (ctx) => {
+      const { incoming, outgoing } = ctx.env;
+      const req = toCallerRequest(incoming, outgoing);
+      return toResponse(await options.serve(req));
+    });
+    return new Promise((resolve, reject) => {
+      const { port, host } = options;
+      const serverOptions = { maxHeaderSize: MAX_HEADER_BYTES };
+      const server = serve({ fetch: app.fetch, port, hostname: host, serverOptions }, () => {
+        resolve(new CallerServer(server));
+      }) as Server;
+      server.once('error', reject);
+    });
+  }
+
+  /** @returns The port that it listens on. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Stops accepting connections, and ends the open ones once they are idle. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+      this.#server.closeIdleConnections();
+    });
+  }
+}
+
+function toCallerRequest(incoming: IncomingMessage, outgoing: ServerResponse): CallerRequest {
+  const { headers } = incoming;
+  const text = (name: string) => {
+    const value = headers[name];
+    return Array.isArray(value) ? value[0] : value;
+  };
+  const controller = new AbortController();
+  outgoing.once('close', () => {
+    if (!outgoing.writableFinished) controller.abort();
+  });
+  return {
+    workspace: text(HeaderName.Workspace),
+    host: (headers.host ?? '').replace(/:\d+$/, ''),
+    method: incoming.method ?? 'GET',
+    target: incoming.url ?? '/',
+    headers: endToEnd(readHeaders(incoming)),
+    announcedBytes: announcedBytes(incoming),
+    body: hasBody(incoming) ? readBody(incoming) : EMPTY_BODY,
+    deadline: text(HeaderName.Deadline),
+    depth: text(HeaderName.Depth),
+    key: text(HeaderName.IdempotencyKey),
+    signal: controller.signal,
+  };
+}
+
+function readHeaders(incoming: IncomingMessage): CallHeaders {
+  return pairHeaders(incoming.rawHeaders)
+    .map(([name, value]): [string, string] => [name.toLowerCase(), value])
+    .filter(([name]) => !OWN_HEADERS.has(name));
+}
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
+
+function announcedBytes(incoming: IncomingMessage): number | undefined {
+  if (!hasBody(incoming)) return 0;
+  const length = incoming.headers['content-length'];
+  return length === undefined ? undefined : Number(length);
+}
+
+/** Reads a stream of the platform as a body; a broken stream is a cut, not an exception. */
+export async function* readBody(stream: AsyncIterable<Uint8Array>): AsyncGenerator<BodyChunk> {
+  try {
+    for await (const bytes of stream) yield ok(bytes);
+  } catch (error) {
+    yield err({ detail: error instanceof Error ? error.message : 'the stream broke' });
+  }
+}
+
+function toResponse({ callId, result, nextKey }: CallerReply): Response {
+  const headers = new Headers({ [HeaderName.CallId]: callId });
+  if (nextKey !== undefined) headers.set(HeaderName.IdempotencyKey, nextKey);
+  if (result.isErr()) {
+    const problem = toProblem(result.error, callId);
+    for (const [name, value] of Object.entries(problem.headers)) headers.set(name, value);
+    return new Response(problem.body, { status: problem.status, headers });
+  }
+  const answer = result.value;
+  for (const [name, value] of answer.headers) headers.append(name, value);
+  headers.set(HeaderName.Outcome, Outcome.Answered);
+  const body = BODILESS_STATUS.has(answer.status) ? null : toResponseBody(answer.body);
+  return new Response(body, { status: answer.status, headers });
+}
+
+function toResponseBody(body: Body): Uint8Array<ArrayBuffer> | ReadableStream<Uint8Array> {
+  if (body instanceof WholeBody) return body.bytes as Uint8Array<ArrayBuffer>;
+  const chunks = body[Symbol.asyncIterator]();
+  return new ReadableStream<Uint8Array>({
+    pull: async (controller) => {
+      const item = await chunks.next();
+      if (item.done) controller.close();
+      else if (item.value.isErr()) controller.error(new Error(item.value.error.detail));
+      else controller.enqueue(item.value.value);
+    },
+    cancel: async () => {
+      await chunks.return?.();
+    },
+  });
+}
--- /dev/null
+++ b/link/dialer.ts
@@ -0,0 +1,39 @@
+import { err, ok, type Result } from 'neverthrow';
+import { WebSocket } from 'ws';
+import type { FrameChannel } from './frame_channel.ts';
+import { MAX_MESSAGE_BYTES, WsChannel } from './ws_channel.ts';
+
+/** Why a connection could not be opened. */
+export interface DialError {
+  detail: string;
+}
+
+/** Opens connections to peers. */
+export interface Dialer {
+  /**
+   * @param address `host:port` of the peer.
+   * @returns The open connection, or why there is none.
+   */
+  dial(address: string): Promise<Result<FrameChannel, DialError>>;
+}
+
+const DIAL_TIMEOUT_MS = 1_000;
+
+/** A {@linkcode Dialer} over WebSocket. */
+export class WsDialer implements Dialer {
+  dial(address: string): Promise<Result<FrameChannel, DialError>> {
+    const socket = new WebSocket(`ws://${address}`, {
+      handshakeTimeout: DIAL_TIMEOUT_MS,
+      perMessageDeflate: false,
+      maxPayload: MAX_MESSAGE_BYTES,
+    });
+    return new Promise((resolve) => {
+      socket.once('open', () => {
+        resolve(ok(new WsChannel(socket)));
+      });
+      socket.once('error', (error) => {
+        resolve(err({ detail: `${address}: ${error.message}` }));
+      });
+    });
+  }
+}
--- /dev/null
+++ b/link/greet.ts
@@ -0,0 +1,52 @@
+import { err, ok, type Result } from 'neverthrow';
+import { sleep, type TimerService } from '../timer/mod.ts';
+import { FrameKind, PROTOCOL_VERSION, type Frame, type HelloFrame } from './frame.ts';
+import type { FrameChannel } from './frame_channel.ts';
+
+const GREETING_TIMEOUT_MS = 1_000;
+
+/** Why a peer was not accepted. */
+export interface GreetError {
+  detail: string;
+}
+
+/**
+ * Exchanges the first frames of a link.
+ *
+ * @param channel The open connection.
+ * @param own What this daemon says about itself.
+ * @param timer The source of time.
+ * @returns What the peer says about itself, or why the link is refused.
+ */
+export async function greet(
+  channel: FrameChannel,
+  own: HelloFrame,
+  timer: TimerService,
+): Promise<Result<HelloFrame, GreetError>> {
+  channel.send(own);
+  const done = new AbortController();
+  const late = sleep(timer, GREETING_TIMEOUT_MS, { signal: done.signal }).then(() =>
+    err<HelloFrame, GreetError>({ detail: `expected a greeting within ${GREETING_TIMEOUT_MS} ms` }),
+  );
+  const result = await Promise.race([readHello(channel), late]);
+  done.abort();
+  if (result.isErr()) channel.terminate();
+  return result;
+}
+
+async function readHello(channel: FrameChannel): Promise<Result<HelloFrame, GreetError>> {
+  for await (const received of channel.frames()) {
+    return received.mapErr(({ detail }) => ({ detail })).andThen(checkHello);
+  }
+  return err({ detail: 'the connection ended before the greeting' });
+}
+
+function checkHello(frame: Frame): Result<HelloFrame, GreetError> {
+  if (frame.kind !== FrameKind.Hello) {
+    return err({ detail: `expected a greeting, got frame ${frame.kind}` });
+  }
+  if (frame.protocol !== PROTOCOL_VERSION) {
+    return err({ detail: `expected protocol ${PROTOCOL_VERSION}, got ${frame.protocol}` });
+  }
+  return ok(frame);
+}
--- /dev/null
+++ b/link/peer_server.ts
@@ -0,0 +1,54 @@
+import type { AddressInfo } from 'node:net';
+import { WebSocketServer } from 'ws';
+import type { FrameChannel } from './frame_channel.ts';
+import { MAX_MESSAGE_BYTES, WsChannel } from './ws_channel.ts';
+
+/** Options of {@linkcode PeerServer.listen}. */
+export interface PeerServerOptions {
+  host: string;
+  /** Port to listen on; zero for any. */
+  port: number;
+  /** Serves one connection until it ends. */
+  serve: (channel: FrameChannel) => Promise<void>;
+}
+
+/** Accepts the links that peers open. */
+export class PeerServer {
+  readonly #server: WebSocketServer;
+
+  private constructor(server: WebSocketServer) {
+    this.#server = server;
+  }
+
+  /**
+   * @param options See {@linkcode PeerServerOptions}.
+   * @returns The server, once it listens.
+   */
+  static listen(options: PeerServerOptions): Promise<PeerServer> {
+    const server = new WebSocketServer({
+      host: options.host,
+      port: options.port,
+      perMessageDeflate: false,
+      maxPayload: MAX_MESSAGE_BYTES,
+    });
+    server.on('connection', (socket) => {
+      void options.serve(new WsChannel(socket));
+    });
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.once('listening', () => {
+        resolve(new PeerServer(server));
+      });
+    });
+  }
+
+  /** @returns The port that it listens on. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Stops accepting connections; open ones stay. */
+  close(): void {
+    this.#server.close();
+  }
+}
--- /dev/null
+++ b/metrics/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Metrics of a daemon.
+ *
+ * ```ts
+ * import { Metric, NoMetrics } from 'rhubarbkeel';
+ *
+ * new NoMetrics().increment(Metric.Calls);
+ * ```
+ *
+ * @module
+ */
+export * from './metrics.ts';
+export * from './no_metrics.ts';
+export * from './statsd_metrics.ts';
--- /dev/null
+++ b/metrics/statsd_metrics.ts
@@ -0,0 +1,46 @@
+import { StatsD } from 'hot-shots';
+import type { Metric, Metrics, Tags } from './metrics.ts';
+
+const PREFIX = 'rhubarbkeel.';
+const MAX_BUFFER_BYTES = 1_400;
+
+/** Options of {@linkcode StatsdMetrics}. */
+export interface StatsdMetricsOptions {
+  host: string;
+  port: number;
+  /** Name of the instance, sent as a tag with each sample. */
+  instanceId: string;
+}
+
+/** Sends measurements by StatsD over UDP. */
+export class StatsdMetrics implements Metrics {
+  readonly #client: StatsD;
+
+  /** @param options See {@linkcode StatsdMetricsOptions}. */
+  constructor({ host, port, instanceId }: StatsdMetricsOptions) {
+    this.#client = new StatsD({
+      host,
+      port,
+      prefix: PREFIX,
+      maxBufferSize: MAX_BUFFER_BYTES,
+      globalTags: { instance: instanceId },
+      errorHandler: () => undefined,
+    });
+  }
+
+  increment(metric: Metric, tags: Tags = {}): void {
+    this.#client.increment(metric, 1, tags);
+  }
+
+  timing(metric: Metric, elapsedMs: number, tags: Tags = {}): void {
+    this.#client.timing(metric, elapsedMs, tags);
+  }
+
+  gauge(metric: Metric, value: number): void {
+    this.#client.gauge(metric, value);
+  }
+
+  close(): void {
+    this.#client.close(() => undefined);
+  }
+}
--- /dev/null
+++ b/placement/make_picker.ts
@@ -0,0 +1,29 @@
+import type { RandomSource } from '../random/mod.ts';
+import {
+  LeastOutstandingPicker,
+  RandomPicker,
+  RoundRobinPicker,
+  TwoChoicesPicker,
+} from './baseline_pickers.ts';
+import { ExpectedCostPicker } from './expected_cost_picker.ts';
+import { PickerKind, type Picker } from './picker.ts';
+
+/**
+ * @param kind The way to choose.
+ * @param random The source of random numbers.
+ * @returns A picker of that kind.
+ */
+export function makePicker(kind: PickerKind, random: RandomSource): Picker {
+  switch (kind) {
+    case PickerKind.Random:
+      return new RandomPicker(random);
+    case PickerKind.RoundRobin:
+      return new RoundRobinPicker();
+    case PickerKind.LeastOutstanding:
+      return new LeastOutstandingPicker(random);
+    case PickerKind.TwoChoices:
+      return new TwoChoicesPicker(random);
+    case PickerKind.ExpectedCost:
+      return new ExpectedCostPicker(random);
+  }
+}
--- /dev/null
+++ b/placement/placement.ts
@@ -0,0 +1,90 @@
+import { err, ok, type Result } from 'neverthrow';
+import { notRun, RefusalReason, type Refusal, type Route } from '../contract/mod.ts';
+import type { Geography } from '../failure_domain/mod.ts';
+import type { Fleet, Instance } from '../instance/mod.ts';
+import type { Candidate } from './candidate.ts';
+import type { Picker } from './picker.ts';
+import type { TargetBoard } from './target_board.ts';
+
+/** Why a target was chosen. */
+export enum PlacementReason {
+  /** The picker's first choice. */
+  Picked = 'picked',
+  /** Chosen after another target refused or failed. */
+  Retried = 'retried',
+  /** All others are avoided after failures. */
+  LastResort = 'last-resort',
+}
+
+/** A choice of target, with what it was chosen from. */
+export interface Decision {
+  instance: Instance;
+  candidate: Candidate;
+  reason: PlacementReason;
+  /** The candidates seen. */
+  candidates: readonly Candidate[];
+}
+
+/** The world as one decision sees it. */
+export interface PlacementScene {
+  fleet: Fleet;
+  geography: Geography;
+  /** Names of instances that were tried already. */
+  excluded: ReadonlySet<string>;
+}
+
+/** Chooses the target for each attempt. */
+export class Placement {
+  readonly #failureDomain: string;
+  readonly #board: TargetBoard;
+  readonly #picker: Picker;
+
+  /**
+   * @param failureDomain Failure domain of the deciding daemon.
+   * @param board Views of the targets.
+   * @param picker Chooses among the candidates.
+   */
+  constructor(failureDomain: string, board: TargetBoard, picker: Picker) {
+    this.#failureDomain = failureDomain;
+    this.#board = board;
+    this.#picker = picker;
+  }
+
+  /**
+   * @param route The call's route.
+   * @param scene The world to decide in.
+   * @returns The choice, or a refusal if no target may execute the call.
+   */
+  choose(route: Route, scene: PlacementScene): Result<Decision, Refusal> {
+    const candidates = this.#candidatesFor(route, scene);
+    const healthy = candidates.filter(({ view }) => !view.isOutlier);
+    const eligible = healthy.length > 0 ? healthy : candidates;
+    const candidate = this.#picker.pick(eligible);
+    if (!candidate) {
+      const detail = `pool "${route.pool}" has no target left that accepts calls, tried ${scene.excluded.size}`;
+      return err(notRun(RefusalReason.NoTarget, detail));
+    }
+    const reason = this.#reasonFor(scene, healthy.length);
+    return ok({ instance: candidate.instance, candidate, reason, candidates: eligible });
+  }
+
+  #candidatesFor(route: Route, scene: PlacementScene): Candidate[] {
+    const candidates: Candidate[] = [];
+    for (const instance of scene.fleet.membersOf(route.pool)) {
+      const { failureDomain } = instance;
+      if (scene.excluded.has(instance.id)) continue;
+      if (!scene.geography.isIn(failureDomain)) continue;
+      if (!route.homeRegions.permits(scene.geography.regionOf(failureDomain))) continue;
+      const view = this.#board.viewOf(instance.id);
+      if (view.isUnavailable) continue;
+      const proximity = scene.geography.proximity(this.#failureDomain, failureDomain);
+      candidates.push({ instance, proximity, view });
+    }
+    return candidates;
+  }
+
+  #reasonFor(scene: PlacementScene, healthy: number): PlacementReason {
+    if (healthy === 0) return PlacementReason.LastResort;
+    return scene.excluded.size > 0 ? PlacementReason.Retried : PlacementReason.Picked;
+  }
+}
--- /dev/null
+++ b/placement/placement_test.ts
@@ -0,0 +1,86 @@
+import t from 'tap';
+import { Repeatability, TargetStage, type Route } from '../contract/mod.ts';
+import { DomainState, Geography, HomeRegions } from '../failure_domain/mod.ts';
+import { Fleet, LifeStage, type Instance } from '../instance/mod.ts';
+import { SeededRandom } from '../random/mod.ts';
+import { VirtualTimer } from '../timer/mod.ts';
+import { PickerKind, Placement, TargetBoard, makePicker } from './mod.ts';
+
+const geography = new Geography([
+  { name: 'centro-a', region: 'ar-centro', state: DomainState.In },
+  { name: 'centro-b', region: 'ar-centro', state: DomainState.In },
+  { name: 'norte-a', region: 'ar-norte', state: DomainState.In },
+  { name: 'norte-b', region: 'ar-norte', state: DomainState.Out },
+]);
+
+const route: Route = {
+  name: 'read-board',
+  workspace: 'plata',
+  methods: ['GET'],
+  path: '/boards',
+  pool: 'boards',
+  repeatability: Repeatability.Idempotent,
+  homeRegions: HomeRegions.ANYWHERE,
+  weight: 1,
+  timeoutMs: 1_000,
+  bodyLimitBytes: 1_024,
+  quarantine: false,
+  hedge: false,
+};
+
+function instanceIn(failureDomain: string, stage = LifeStage.Live): Instance {
+  const id = `boards-${failureDomain}`;
+  return { id, pool: 'boards', failureDomain, peerAddress: '', callerAddress: '', stage };
+}
+
+function choices(kind: PickerKind, options: { route?: Route; excluded?: string[] } = {}): string[] {
+  const timer = new VirtualTimer();
+  const board = new TargetBoard(timer);
+  const picker = makePicker(kind, new SeededRandom(11));
+  const placement = new Placement('centro-a', board, picker);
+  const fleet = new Fleet(
+    1,
+    ['centro-a', 'centro-b', 'norte-a', 'norte-b'].map((name) => instanceIn(name)),
+  );
+  const excluded = new Set(options.excluded ?? []);
+  return Array.from({ length: 6 }, () => {
+    const chosen = placement.choose(options.route ?? route, { fleet, geography, excluded });
+    if (chosen.isErr()) return `${chosen.error.reason}: ${chosen.error.detail}`;
+    chosen.value.candidate.view.begin();
+    return `${chosen.value.instance.id} ${chosen.value.reason}`;
+  });
+}
+
+void t.test('placement.choose() never names a failure domain that was taken out', (t) => {
+  for (const kind of Object.values(PickerKind)) t.matchSnapshot(choices(kind), kind);
+  t.end();
+});
+
+void t.test('placement.choose() keeps to the home regions', (t) => {
+  const homeRegions = HomeRegions.of(['ar-norte']);
+  const bound = { ...route, homeRegions };
+  t.matchSnapshot(choices(PickerKind.ExpectedCost, { route: bound }), 'bound to ar-norte');
+  t.end();
+});
+
+void t.test('placement.choose() refuses when every target was tried', (t) => {
+  const excluded = ['boards-centro-a', 'boards-centro-b', 'boards-norte-a'];
+  t.matchSnapshot(choices(PickerKind.ExpectedCost, { excluded }).slice(0, 1), 'refusal');
+  t.end();
+});
+
+void t.test('expected cost picker leaves the region only when the wait exceeds the way', (t) => {
+  const timer = new VirtualTimer();
+  const board = new TargetBoard(timer);
+  const picker = makePicker(PickerKind.ExpectedCost, new SeededRandom(3));
+  const placement = new Placement('centro-a', board, picker);
+  const fleet = new Fleet(1, [instanceIn('centro-a'), instanceIn('norte-a')]);
+  const seen = [0, 5, 10, 20, 40].map((queued) => {
+    const load = { inFlight: 6, limit: 6, queued, serviceMs: 20, stage: TargetStage.Warm };
+    board.viewOf('boards-centro-a').recordLoad(load, 21);
+    const chosen = placement.choose(route, { fleet, geography, excluded: new Set() });
+    return `queued=${queued} choice=${chosen.map(({ instance }) => instance.id).unwrapOr('none')}`;
+  });
+  t.matchSnapshot(seen, 'choices by queue length');
+  t.end();
+});
--- /dev/null
+++ b/settings/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Settings of a daemon, in JSON with comments.
+ *
+ * ```ts
+ * import { parseSettings } from 'rhubarbkeel';
+ *
+ * console.assert(parseSettings('empty.jsonc', '{}').isErr());
+ * ```
+ *
+ * @module
+ */
+export * from './settings.ts';
--- /dev/null
+++ b/spread/version_spread.ts
@@ -0,0 +1,273 @@
+import { Event, type EventLog } from '../event_log/mod.ts';
+import type { Fleet, Instance } from '../instance/mod.ts';
+import { FrameKind, type DocumentFrame, type Frame, type PeerLink } from '../link/mod.ts';
+import {
+  DocumentKind,
+  OfferResult,
+  watchersOf,
+  type DocumentStore,
+  type OfferedDocument,
+  type PlatformReader,
+} from '../platform/mod.ts';
+import type { RandomSource } from '../random/mod.ts';
+import { sleep, type TimerService } from '../timer/mod.ts';
+
+/** Longest wait of one watch at the platform, in milliseconds. */
+const WATCH_WAIT_MS = 30_000;
+/** Shortest wait after a failed read, in milliseconds; a random part is added. */
+const RETRY_DELAY_MS = 500;
+/** Time between two checks of a follower's links to its watchers, in milliseconds. */
+const FOLLOW_PERIOD_MS = 1_000;
+/** Time without any watcher after which a follower reads the platform itself, in milliseconds. */
+const LONELY_LIMIT_MS = 3_000;
+const LONELY_READ_PERIOD_MS = 5_000;
+/** Shortest time between two reactions to a peer's version in its calls, in milliseconds. */
+const ASK_PERIOD_MS = 100;
+const KINDS = [DocumentKind.Configuration, DocumentKind.Fleet] as const;
+
+/** What a {@linkcode VersionSpread} needs. */
+export interface VersionSpreadOptions {
+  timer: TimerService;
+  log: EventLog;
+  random: RandomSource;
+  store: DocumentStore;
+  platform: PlatformReader;
+  instanceId: string;
+  failureDomain: string;
+  fleet: () => Fleet;
+  /**
+   * @param instance A watcher.
+   * @returns An open link to its daemon, if it can be had.
+   */
+  link: (instance: Instance) => Promise<PeerLink | undefined>;
+}
+
+interface Follower {
+  /** Versions that were last sent to it. */
+  sent: Record<DocumentKind, number>;
+}
+
+/**
+ * Brings the platform's documents to every daemon: few watch the platform,
+ * the others follow one of these over a link.
+ */
+export class VersionSpread {
+  readonly #options: VersionSpreadOptions;
+  readonly #followers = new Map<PeerLink, Follower>();
+  readonly #following = new Set<PeerLink>();
+  readonly #askedAtMs = new WeakMap<PeerLink, number>();
+  readonly #stop = new AbortController();
+  #lastFollowedMs: number;
+  #platformReads = 0;
+
+  /** @param options See {@linkcode VersionSpreadOptions}. */
+  constructor(options: VersionSpreadOptions) {
+    this.#options = options;
+    this.#lastFollowedMs = options.timer.now();
+  }
+
+  /** @returns Reads and watches made at the platform since the start. */
+  get platformReads(): number {
+    return this.#platformReads;
+  }
+
+  /** @returns Whether this daemon watches the platform for others. */
+  get isWatcher(): boolean {
+    const { fleet, failureDomain, instanceId } = this.#options;
+    return watchersOf(fleet(), failureDomain).some(({ id }) => id === instanceId);
+  }
+
+  /** Starts one task for each document and one for the links to the watchers. */
+  start(): void {
+    for (const kind of KINDS) void this.#watch(kind);
+    void this.#follow();
+  }
+
+  /** Ends all tasks. */
+  close(): void {
+    this.#stop.abort();
+  }
+
+  /**
+   * Reads both documents from the platform once.
+   *
+   * @returns Whether the platform answered.
+   */
+  async readOnce(): Promise<boolean> {
+    const reads = await Promise.all(KINDS.map((kind) => this.#read(kind, 0)));
+    return reads.every(Boolean);
+  }
+
+  /**
+   * Asks a peer for the documents that it has in newer versions.
+   *
+   * @param link A link to the peer.
+   * @param follow Whether to be sent later versions too.
+   */
+  ask(link: PeerLink, follow = false): void {
+    const { store } = this.#options;
+    const configuration = store.version(DocumentKind.Configuration);
+    const fleet = store.version(DocumentKind.Fleet);
+    link.sendFrame({ kind: FrameKind.Subscribe, follow, configuration, fleet });
+  }
+
+  /**
+   * Takes a frame about versions or documents.
+   *
+   * @param link The link that it came over.
+   * @param frame The frame.
+   */
+  handle(link: PeerLink, frame: Frame): void {
+    switch (frame.kind) {
+      case FrameKind.Subscribe: {
+        const sent = {
+          [DocumentKind.Configuration]: frame.configuration,
+          [DocumentKind.Fleet]: frame.fleet,
+        };
+        if (frame.follow) this.#followers.set(link, { sent });
+        this.#sendUpdates(link, { sent });
+        this.#sendVersions(link);
+        break;
+      }
+      case FrameKind.Document:
+        this.#offer(frame, link);
+        break;
+      case FrameKind.Versions:
+        if (this.#isBehind(frame.configuration, frame.fleet)) this.ask(link);
+        break;
+      default:
+        break;
+    }
+  }
+
+  /**
+   * Notes the version that a peer decides by.
+   *
+   * @param link The link to the peer.
+   * @param version Its version of the configuration.
+   */
+  noteVersion(link: PeerLink, version: number): void {
+    const { store, timer } = this.#options;
+    const own = store.version(DocumentKind.Configuration);
+    if (version === own) return;
+    const nowMs = timer.now();
+    if (nowMs - (this.#askedAtMs.get(link) ?? -Infinity) < ASK_PERIOD_MS) return;
+    this.#askedAtMs.set(link, nowMs);
+    if (version > own) this.ask(link);
+    else this.#sendVersions(link);
+  }
+
+  async #watch(kind: DocumentKind): Promise<void> {
+    const { timer } = this.#options;
+    const { signal } = this.#stop;
+    while (!signal.aborted) {
+      const isLonely = timer.now() - this.#lastFollowedMs > LONELY_LIMIT_MS;
+      if (this.isWatcher) {
+        const answered = await this.#read(kind, WATCH_WAIT_MS);
+        if (!answered) await this.#pause(RETRY_DELAY_MS);
+      } else if (isLonely) {
+        await this.#read(kind, 0);
+        await this.#pause(LONELY_READ_PERIOD_MS);
+      } else {
+        await this.#pause(FOLLOW_PERIOD_MS);
+      }
+    }
+  }
+
+  async #read(document: DocumentKind, waitMs: number): Promise<boolean> {
+    const { platform, store, log } = this.#options;
+    this.#platformReads += 1;
+    const afterVersion = store.version(document);
+    const read = await platform.read({ document, afterVersion, waitMs });
+    if (read.isErr()) {
+      log.write(Event.PlatformUnreachable, { document, detail: read.error.detail });
+      return false;
+    }
+    if (read.value) this.#offer({ document, base: 0, ...read.value });
+    return true;
+  }
+
+  async #follow(): Promise<void> {
+    const { fleet, failureDomain, instanceId, timer, link } = this.#options;
+    const { signal } = this.#stop;
+    while (!signal.aborted) {
+      const watchers = watchersOf(fleet(), failureDomain).filter(({ id }) => id !== instanceId);
+      for (const watcher of watchers) {
+        const open = await link(watcher);
+        if (!open) continue;
+        this.#lastFollowedMs = timer.now();
+        if (this.#following.has(open)) continue;
+        this.#following.add(open);
+        this.ask(open, true);
+      }
+      this.#dropClosed();
+      await sleep(timer, FOLLOW_PERIOD_MS, { signal });
+    }
+  }
+
+  #offer(offered: OfferedDocument | DocumentFrame, from?: PeerLink): void {
+    const { store, log } = this.#options;
+    const { document, version } = offered;
+    const result = store.offer(offered);
+    switch (result) {
+      case OfferResult.Applied:
+        log.write(Event.ConfigurationApplied, {
+          document,
+          version,
+          from: from?.peer.instanceId ?? 'platform',
+        });
+        this.#publish();
+        break;
+      case OfferResult.Rejected:
+        log.write(Event.ConfigurationRejected, {
+          document,
+          version,
+          findings: store.rejected?.findings.join('; '),
+        });
+        break;
+      case OfferResult.WrongBase:
+        if (from) this.ask(from);
+        break;
+      case OfferResult.Old:
+        break;
+    }
+  }
+
+  #publish(): void {
+    for (const [link, follower] of this.#followers) {
+      if (link.isOpen) this.#sendUpdates(link, follower);
+    }
+  }
+
+  #sendUpdates(link: PeerLink, follower: Follower): void {
+    for (const kind of KINDS) {
+      const update = this.#options.store.updateFor(kind, follower.sent[kind]);
+      if (!update) continue;
+      follower.sent[kind] = update.version;
+      link.sendFrame({ kind: FrameKind.Document, ...update });
+    }
+  }
+
+  #sendVersions(link: PeerLink): void {
+    const { store } = this.#options;
+    const configuration = store.version(DocumentKind.Configuration);
+    const fleet = store.version(DocumentKind.Fleet);
+    link.sendFrame({ kind: FrameKind.Versions, configuration, fleet });
+  }
+
+  #isBehind(configuration: number, fleet: number): boolean {
+    const { store } = this.#options;
+    if (configuration > store.version(DocumentKind.Configuration)) return true;
+    return fleet > store.version(DocumentKind.Fleet);
+  }
+
+  #dropClosed(): void {
+    for (const link of this.#followers.keys()) if (!link.isOpen) this.#followers.delete(link);
+    for (const link of this.#following) if (!link.isOpen) this.#following.delete(link);
+  }
+
+  #pause(delayMs: number): Promise<void> {
+    const { timer, random } = this.#options;
+    return sleep(timer, delayMs + random.below(delayMs), { signal: this.#stop.signal });
+  }
+}
--- /dev/null
+++ b/stand_in/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Stand-ins for the systems around the daemons, for tests, benchmarks and the demonstration.
+ *
+ * @module
+ */
+export * from './platform_stand_in.ts';
+export * from './target_stand_in.ts';
--- /dev/null
+++ b/stand_in/platform_stand_in.ts
@@ -0,0 +1,213 @@
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { serve } from '@hono/node-server';
+import fastJsonPatch, { type Operation } from 'fast-json-patch';
+import { Hono, type Context } from 'hono';
+import { SourceDocument, formatFinding } from '../finding/mod.ts';
+import type { Instance } from '../instance/mod.ts';
+import { Configuration, DocumentKind, VERSION_HEADER } from '../platform/mod.ts';
+import { RealTimer } from '../timer/mod.ts';
+
+/** How the platform's service behaves. */
+export enum PlatformMode {
+  Up = 'up',
+  /** Refuses every read. */
+  Down = 'down',
+  /** Answers with the versions of the moment at which it was switched. */
+  Stale = 'stale',
+}
+
+interface Document {
+  version: number;
+  text: string;
+}
+
+interface PublishBody {
+  base: number;
+  patch: Operation[];
+}
+
+const DEFAULT_LAG_MS = 200;
+
+/** Options of {@linkcode PlatformStandIn.listen}. */
+export interface PlatformStandInOptions {
+  port?: number;
+  /** First version of the configuration, as JSON. */
+  configuration: string;
+  /** Delay of the instance list behind the world, in milliseconds. */
+  lagMs?: number;
+}
+
+/**
+ * Stands in for the platform: a configuration service that can be read and
+ * watched, an instance list that lags, and the operators' way to publish.
+ */
+export class PlatformStandIn {
+  readonly #timer = new RealTimer();
+  readonly #lagMs: number;
+  readonly #waiting = new Set<() => void>();
+  readonly #documents: Record<DocumentKind, Document>;
+  #shown: Record<DocumentKind, Document> | undefined;
+  #mode = PlatformMode.Up;
+  #server: Server | undefined;
+  #calls = 0;
+
+  private constructor(options: PlatformStandInOptions) {
+    this.#lagMs = options.lagMs ?? DEFAULT_LAG_MS;
+    const { version } = JSON.parse(options.configuration) as { version: number };
+    this.#documents = {
+      [DocumentKind.Configuration]: { version, text: options.configuration },
+      [DocumentKind.Fleet]: { version: 0, text: '{"version":0,"instances":[]}' },
+    };
+  }
+
+  /**
+   * @param options See {@linkcode PlatformStandInOptions}.
+   * @returns The stand-in, once it listens on the loopback interface.
+   */
+  static async listen(options: PlatformStandInOptions): Promise<PlatformStandIn> {
+    const standIn = new PlatformStandIn(options);
+    const app = standIn.#routes();
+    await new Promise<void>((resolve) => {
+      standIn.#server = serve(
+        { fetch: app.fetch, port: options.port ?? 0, hostname: '127.0.0.1' },
+        () => {
+          resolve();
+        },
+      ) as Server;
+    });
+    return standIn;
+  }
+
+  /** @returns The port that it listens on. */
+  get port(): number {
+    return (this.#server?.address() as AddressInfo).port;
+  }
+
+  /** @returns Reads and watches counted so far. */
+  get calls(): number {
+    return this.#calls;
+  }
+
+  /** @returns Version of the configuration that operators published last. */
+  get configurationVersion(): number {
+    return this.#documents[DocumentKind.Configuration].version;
+  }
+
+  /** @param mode How to behave from now on. */
+  setMode(mode: PlatformMode): void {
+    this.#mode = mode;
+    this.#shown = mode === PlatformMode.Stale ? { ...this.#documents } : undefined;
+    this.#wakeAll();
+  }
+
+  /**
+   * Lists the instances of the world; readers see them after the lag.
+   *
+   * @param instances The instances.
+   */
+  setInstances(instances: readonly Instance[]): void {
+    this.#timer.after(this.#lagMs, () => {
+      const version = this.#documents[DocumentKind.Fleet].version + 1;
+      const text = JSON.stringify({ version, instances });
+      this.#documents[DocumentKind.Fleet] = { version, text };
+      this.#wakeAll();
+    });
+  }
+
+  /**
+   * Publishes a version, as operators do.
+   *
+   * @param base Version that the patch was made for; must be the current one.
+   * @param patch JSON Patch.
+   * @returns Why it was refused; empty if it was published.
+   */
+  publish(base: number, patch: Operation[]): string[] {
+    const current = this.#documents[DocumentKind.Configuration];
+    if (base !== current.version) return [`expected base version ${current.version}, got ${base}`];
+    const document = JSON.parse(current.text) as { version: number };
+    const next = fastJsonPatch.applyPatch(document, patch).newDocument;
+    const version = current.version + 1;
+    const text = JSON.stringify({ ...next, version });
+    const checked = Configuration.parse(new SourceDocument('configuration', text));
+    if (checked.isErr()) return checked.error.map(formatFinding);
+    this.publishUnchecked(version, text);
+    return [];
+  }
+
+  /**
+   * Publishes any text as a version, valid or not.
+   *
+   * @param version Number of the version.
+   * @param text The document.
+   */
+  publishUnchecked(version: number, text: string): void {
+    this.#documents[DocumentKind.Configuration] = { version, text };
+    this.#wakeAll();
+  }
+
+  /** Stops at once. */
+  close(): void {
+    this.#wakeAll();
+    this.#server?.close();
+    (this.#server as { closeAllConnections?: () => void } | undefined)?.closeAllConnections?.();
+  }
+
+  #routes(): Hono {
+    const app = new Hono();
+    for (const kind of Object.values(DocumentKind)) {
+      app.get(`/${kind}`, (ctx) => this.#answer(ctx, kind));
+    }
+    app.post('/operators/publish', async (ctx) => {
+      const { base, patch } = await ctx.req.json<PublishBody>();
+      const findings = this.publish(base, patch);
+      if (findings.length > 0) return ctx.json({ findings }, 409);
+      return ctx.json({ version: this.configurationVersion });
+    });
+    app.post('/stand-in/mode/:mode', (ctx) => {
+      const mode = ctx.req.param('mode');
+      if (!isPlatformMode(mode)) return ctx.json({ mode: this.#mode }, 400);
+      this.setMode(mode);
+      return ctx.json({ mode });
+    });
+    app.get('/stand-in/calls', (ctx) => ctx.json({ calls: this.#calls }));
+    return app;
+  }
+
+  async #answer(ctx: Context, kind: DocumentKind): Promise<Response> {
+    this.#calls += 1;
+    const after = Number(ctx.req.query('after') ?? 0);
+    const waitMs = Number(ctx.req.query('waitMs') ?? 0);
+    if (this.#current(kind).version <= after && waitMs > 0) await this.#changeWithin(waitMs, ctx);
+    if (this.#mode === PlatformMode.Down) return ctx.text('down', 503);
+    const { version, text } = this.#current(kind);
+    if (version <= after) return ctx.body(null, 204);
+    return ctx.text(text, 200, { [VERSION_HEADER]: String(version) });
+  }
+
+  #current(kind: DocumentKind): Document {
+    return (this.#shown ?? this.#documents)[kind];
+  }
+
+  #changeWithin(waitMs: number, ctx: Context): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        timeout.cancel();
+        this.#waiting.delete(finish);
+        resolve();
+      };
+      const timeout = this.#timer.after(waitMs, finish);
+      this.#waiting.add(finish);
+      ctx.req.raw.signal.addEventListener('abort', finish);
+    });
+  }
+
+  #wakeAll(): void {
+    for (const wake of [...this.#waiting]) wake();
+  }
+}
+
+function isPlatformMode(text: string): text is PlatformMode {
+  const modes: readonly string[] = Object.values(PlatformMode);
+  return modes.includes(text);
+}
--- /dev/null
+++ b/target/guard.ts
@@ -0,0 +1,337 @@
+import { err, ok, type Result } from 'neverthrow';
+import {
+  BodyEnd,
+  CollectFailure,
+  FailureKind,
+  RefusalReason,
+  Repeatability,
+  TargetStage,
+  abandonBody,
+  collectBody,
+  notRun,
+  unknown,
+  watchBody,
+  type Answer,
+  type Attempt,
+  type AttemptFailure,
+  type AttemptId,
+  type AttemptPort,
+  type AttemptResult,
+  type Deadline,
+  type LoadState,
+  type Pool,
+  type Refusal,
+} from '../contract/mod.ts';
+import type { EventLog } from '../event_log/mod.ts';
+import type { TimerService } from '../timer/mod.ts';
+import { AttemptLedger } from './attempt_ledger.ts';
+import { makeLimit, type ConcurrencyLimit, type LimitKind } from './concurrency_limit.ts';
+import { Gate, type GateBounds } from './gate.ts';
+import { Quarantine } from './quarantine.ts';
+import { ServiceClock } from './service_clock.ts';
+import { TargetHealth } from './target_health.ts';
+import {
+  TargetFailureKind,
+  type TargetAnswer,
+  type TargetFailure,
+  type TargetPort,
+} from './target_port.ts';
+import { WarmUp } from './warm_up.ts';
+
+/** Largest answer of a non-idempotent call, in bytes. */
+const KEPT_ANSWER_LIMIT_BYTES = 1_048_576;
+/** Time beyond its deadline for which a non-idempotent call may run, in milliseconds. */
+const NON_IDEMPOTENT_GRACE_MS = 30_000;
+/** Server errors begin at this status. */
+const SERVER_ERROR_STATUS = 500;
+const PROBE_PERIOD_MS = 1_000;
+
+/** What a {@linkcode Guard} needs. */
+export interface GuardOptions {
+  /** Name of the instance whose target is guarded. */
+  instanceId: string;
+  timer: TimerService;
+  log: EventLog;
+  port: TargetPort;
+  limitKind: LimitKind;
+  quarantine: Quarantine;
+  /** @returns The rules in force for the target's pool, if the configuration has them. */
+  pool: () => Pool | undefined;
+  /**
+   * @param attempt An attempt that has arrived.
+   * @returns Why this daemon may not execute it, if so.
+   */
+  objection: (attempt: Attempt) => Refusal | undefined;
+}
+
+/**
+ * Stands before one target. All work for the target passes it, so it knows
+ * without delay what the target runs; it admits, queues briefly or refuses.
+ */
+export class Guard implements AttemptPort {
+  readonly #options: GuardOptions;
+  readonly #timer: TimerService;
+  readonly #gate: Gate;
+  readonly #ledger: AttemptLedger;
+  readonly #clock = new ServiceClock();
+  readonly #health: TargetHealth;
+  readonly #warmUp: WarmUp;
+  #limit: ConcurrencyLimit;
+  #slots: number;
+  #overload = 0;
+
+  /** @param options See {@linkcode GuardOptions}. */
+  constructor(options: GuardOptions) {
+    this.#options = options;
+    this.#timer = options.timer;
+    const pool = options.pool();
+    this.#slots = pool?.slots ?? 1;
+    this.#limit = makeLimit(options.limitKind, this.#slots);
+    this.#warmUp = new WarmUp(pool?.coldSlots ?? 1);
+    this.#health = new TargetHealth(options.log, this.#warmUp);
+    this.#gate = new Gate(options.timer, () => this.#bounds());
+    this.#ledger = new AttemptLedger(options.timer);
+    options.timer.every(PROBE_PERIOD_MS, () => {
+      void this.#probeIfDown();
+    });
+  }
+
+  /** @returns The target's load at this moment. */
+  get load(): LoadState {
+    return {
+      inFlight: this.#gate.inFlight,
+      limit: this.#currentLimit(),
+      queued: this.#gate.queued,
+      serviceMs: this.#clock.meanMs,
+      stage: this.#health.stage(this.#limit.current),
+    };
+  }
+
+  /** @returns Whether nothing runs or waits. */
+  get isIdle(): boolean {
+    return this.#gate.inFlight === 0 && this.#gate.queued === 0;
+  }
+
+  /** @returns Executions above the limit, which is always zero unless the limit fell meanwhile. */
+  get overload(): number {
+    return this.#overload;
+  }
+
+  async send(attempt: Attempt): Promise<AttemptResult> {
+    const objection = this.#objectionTo(attempt);
+    if (objection) return this.#fail(FailureKind.Refused, objection);
+    const isKept = attempt.call.route.repeatability === Repeatability.NonIdempotent;
+    return isKept ? this.#runOnce(attempt) : this.#admit(attempt);
+  }
+
+  settle(id: AttemptId, deadline: Deadline): Promise<AttemptResult> {
+    return this.#ledger.settle(id, deadline);
+  }
+
+  /**
+   * Refuses everything that waits, as when the daemon leaves or its failure
+   * domain was taken out. Calls that run are finished.
+   *
+   * @param refusal The refusal to give.
+   */
+  refuseWaiting(refusal: Refusal): void {
+    this.#gate.refuseWaiting(refusal);
+  }
+
+  /** Takes a changed configuration of the pool into account. */
+  refresh(): void {
+    const slots = this.#options.pool()?.slots ?? 1;
+    if (slots === this.#slots) return;
+    this.#slots = slots;
+    this.#limit = makeLimit(this.#options.limitKind, slots);
+    this.#gate.admitWaiting();
+  }
+
+  /** Treats the target as just started, as after its failure domain was put back into service. */
+  restartCold(): void {
+    this.#warmUp.restart();
+  }
+
+  #objectionTo(attempt: Attempt): Refusal | undefined {
+    const { call, fingerprint } = attempt;
+    if (call.deadline.hasPassed) {
+      return notRun(
+        RefusalReason.DeadlinePassed,
+        'the deadline passed before the target was reached',
+      );
+    }
+    if (fingerprint !== undefined && this.#options.quarantine.isBlocked(fingerprint)) {
+      return notRun(RefusalReason.Quarantined, 'calls like this one coincided with target crashes');
+    }
+    if (this.#health.isDown) return notRun(RefusalReason.TargetDown, 'the target is not listening');
+    return this.#options.objection(attempt);
+  }
+
+  async #runOnce(attempt: Attempt): Promise<AttemptResult> {
+    const id = { sender: attempt.sender, sequence: attempt.sequence };
+    const accepted = this.#ledger.accept(id);
+    if (accepted.isErr()) return err({ ...accepted.error, load: this.load });
+    const result = await this.#keepWhole(await this.#admit(attempt, id));
+    this.#ledger.end(id, result);
+    return result;
+  }
+
+  async #keepWhole(result: AttemptResult): Promise<AttemptResult> {
+    if (result.isErr()) return result;
+    const whole = await collectBody(result.value.body, KEPT_ANSWER_LIMIT_BYTES);
+    if (whole.isOk()) return ok({ ...result.value, body: whole.value });
+    const reason =
+      whole.error === CollectFailure.TooLarge
+        ? RefusalReason.AnswerTooLarge
+        : RefusalReason.AnswerLost;
+    return this.#fail(
+      FailureKind.Unknown,
+      unknown(reason, 'the target ran the call, its answer was not kept'),
+    );
+  }
+
+  async #admit(attempt: Attempt, id?: AttemptId): Promise<AttemptResult> {
+    const { route, deadline, signal } = attempt.call;
+    const entered = await this.#gate.enter({ weight: route.weight, deadline, signal });
+    if (entered.isErr()) return this.#fail(FailureKind.Refused, entered.error);
+    const objection = this.#objectionTo(attempt) ?? this.#fenceOf(id);
+    if (objection) {
+      this.#gate.leave();
+      return this.#fail(FailureKind.Refused, objection);
+    }
+    return this.#execute(attempt);
+  }
+
+  #fenceOf(id: AttemptId | undefined): Refusal | undefined {
+    if (!id || this.#ledger.start(id)) return undefined;
+    return notRun(RefusalReason.Fenced, 'the attempt was fenced while it waited');
+  }
+
+  async #execute(attempt: Attempt): Promise<AttemptResult> {
+    const startMs = this.#timer.now();
+    const inFlight = this.#gate.inFlight;
+    if (inFlight > this.#currentLimit()) this.#overload += 1;
+    const result = await this.#runTarget(attempt);
+    const elapsedMs = this.#timer.now() - startMs;
+    this.#recordEnd(attempt, result, { elapsedMs, inFlight });
+    if (result.isErr()) {
+      this.#gate.leave();
+      return this.#failureOf(result.error);
+    }
+    if (result.value.shed) {
+      await abandonBody(result.value.body);
+      this.#gate.leave();
+      return this.#fail(
+        FailureKind.Refused,
+        notRun(RefusalReason.TargetBusy, 'the target shed the call'),
+      );
+    }
+    return ok(this.#releaseAfter(result.value));
+  }
+
+  async #runTarget(attempt: Attempt): Promise<Result<TargetAnswer, TargetFailure>> {
+    const { call } = attempt;
+    const isIdempotent = call.route.repeatability === Repeatability.Idempotent;
+    const controller = new AbortController();
+    const cancel = () => {
+      controller.abort();
+    };
+    if (isIdempotent) call.signal.addEventListener('abort', cancel);
+    const graceMs = isIdempotent ? 0 : NON_IDEMPOTENT_GRACE_MS;
+    const expiry = this.#timer.after(call.deadline.leftMs + graceMs, cancel);
+    const { method, target, headers, body } = call;
+    const leftMs = call.deadline.leftMs;
+    const { signal } = controller;
+    const result = await this.#options.port.run({ method, target, headers, body, leftMs, signal });
+    expiry.cancel();
+    if (result.isErr()) call.signal.removeEventListener('abort', cancel);
+    return result;
+  }
+
+  #recordEnd(
+    attempt: Attempt,
+    result: Result<TargetAnswer, TargetFailure>,
+    { elapsedMs, inFlight }: { elapsedMs: number; inFlight: number },
+  ): void {
+    if (result.isErr()) {
+      this.#recordFailure(attempt, result.error);
+      return;
+    }
+    if (attempt.fingerprint !== undefined)
+      this.#options.quarantine.recordAnswer(attempt.fingerprint);
+    const succeeded = result.value.status < SERVER_ERROR_STATUS;
+    this.#health.recordAnswer(result.value.incarnation);
+    this.#clock.record(elapsedMs);
+    this.#limit.record({ elapsedMs, inFlight, succeeded });
+    this.#warmUp.record(succeeded && !attempt.call.deadline.hasPassed);
+  }
+
+  #recordFailure(attempt: Attempt, failure: TargetFailure): void {
+    switch (failure.kind) {
+      case TargetFailureKind.NotSent:
+        this.#health.recordNotSent();
+        break;
+      case TargetFailureKind.Broken:
+        this.#suspect(attempt);
+        this.#health.recordBroken();
+        break;
+      case TargetFailureKind.Cancelled:
+        this.#warmUp.record(false);
+        break;
+    }
+  }
+
+  #suspect({ fingerprint }: Attempt): void {
+    if (fingerprint === undefined) return;
+    this.#options.quarantine.recordCrash(fingerprint, this.#options.instanceId);
+  }
+
+  #failureOf(failure: TargetFailure): AttemptResult {
+    if (failure.kind === TargetFailureKind.NotSent) {
+      return this.#fail(FailureKind.Refused, notRun(RefusalReason.TargetDown, failure.detail));
+    }
+    return this.#fail(FailureKind.Unknown, unknown(RefusalReason.AnswerLost, failure.detail));
+  }
+
+  #releaseAfter(answer: TargetAnswer): Answer {
+    const body = watchBody(answer.body, (end) => {
+      this.#gate.leave();
+      if (end === BodyEnd.Cut) this.#health.recordBroken();
+    });
+    const { status, headers } = answer;
+    return { status, headers, body, load: this.load };
+  }
+
+  #fail(kind: FailureKind, refusal: Refusal): AttemptResult {
+    const failure: AttemptFailure = { kind, refusal, load: this.load };
+    return err(failure);
+  }
+
+  #currentLimit(): number {
+    return this.#warmUp.limit(this.#limit.current);
+  }
+
+  #bounds(): GateBounds {
+    const pool = this.#options.pool();
+    return {
+      limit: this.#currentLimit(),
+      queueLength: pool?.queueLength ?? 0,
+      queueWaitMs: pool?.queueWaitMs ?? 0,
+      serviceMs: this.#clock.meanMs,
+    };
+  }
+
+  async #probeIfDown(): Promise<void> {
+    if (!this.#health.isDown) return;
+    if (await this.#options.port.probe()) this.#health.recordProbe();
+  }
+}
+
+/** Stage of a target whose daemon accepts no work. */
+export const LEAVING_LOAD: LoadState = {
+  inFlight: 0,
+  limit: 0,
+  queued: 0,
+  serviceMs: 0,
+  stage: TargetStage.Leaving,
+};
--- /dev/null
+++ b/target/mod.ts
@@ -0,0 +1,23 @@
+/**
+ * The guard before one target: admission, cold starts and adaptive limits.
+ *
+ * ```ts
+ * import { WarmUp } from 'rhubarbkeel';
+ *
+ * const warmUp = new WarmUp(1);
+ * console.assert(warmUp.limit(6) === 1);
+ * for (let answer = 0; answer < 3; answer += 1) warmUp.record(true);
+ * console.assert(warmUp.limit(6) === 2);
+ * ```
+ *
+ * @module
+ */
+export * from './attempt_ledger.ts';
+export * from './concurrency_limit.ts';
+export * from './gate.ts';
+export * from './guard.ts';
+export * from './quarantine.ts';
+export * from './service_clock.ts';
+export * from './target_health.ts';
+export * from './target_port.ts';
+export * from './warm_up.ts';
--- /dev/null
+++ b/timer/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * The timer service that every other part subscribes to.
+ *
+ * ```ts
+ * import { VirtualTimer } from 'rhubarbkeel';
+ *
+ * const timer = new VirtualTimer();
+ * let fired = 0;
+ * timer.every(10, () => { fired += 1; });
+ * await timer.advance(35);
+ * console.assert(fired === 3);
+ * ```
+ *
+ * @module
+ */
+export * from './pause_watch.ts';
+export * from './real_timer.ts';
+export * from './sleep.ts';
+export * from './timer_service.ts';
+export * from './virtual_timer.ts';
--- /dev/null
+++ b/timer/pause_watch.ts
@@ -0,0 +1,64 @@
+import type { Subscription, TimerService } from './timer_service.ts';
+
+/** Options of {@linkcode PauseWatch}. */
+export interface PauseWatchOptions {
+  /** Period of the check in milliseconds. */
+  periodMs?: number;
+  /** Silence that counts as a pause, in milliseconds. */
+  thresholdMs?: number;
+}
+
+const DEFAULT_PERIOD_MS = 100;
+const DEFAULT_THRESHOLD_MS = 1_000;
+
+/**
+ * Detects that the process stood still, by the gap between two checks.
+ * Reads `hasPaused` before work is admitted: after a pause, socket events may
+ * be handled before any timer fires.
+ */
+export class PauseWatch {
+  readonly #timer: TimerService;
+  readonly #thresholdMs: number;
+  readonly #subscription: Subscription;
+  readonly #listeners = new Set<(gapMs: number) => void>();
+  #lastBeatMs: number;
+
+  /**
+   * @param timer The source of time.
+   * @param options See {@linkcode PauseWatchOptions}.
+   */
+  constructor(timer: TimerService, options: PauseWatchOptions = {}) {
+    this.#timer = timer;
+    this.#thresholdMs = options.thresholdMs ?? DEFAULT_THRESHOLD_MS;
+    this.#lastBeatMs = timer.now();
+    this.#subscription = timer.every(options.periodMs ?? DEFAULT_PERIOD_MS, () => {
+      this.check();
+    });
+  }
+
+  /**
+   * Compares the clock with the last check and notifies listeners of a pause.
+   *
+   * @returns Whether a pause ended since the last check.
+   */
+  check(): boolean {
+    const nowMs = this.#timer.now();
+    const gapMs = nowMs - this.#lastBeatMs;
+    this.#lastBeatMs = nowMs;
+    if (gapMs < this.#thresholdMs) return false;
+    for (const listener of this.#listeners) listener(gapMs);
+    return true;
+  }
+
+  /**
+   * @param listener Called with the length of each pause in milliseconds.
+   */
+  onPause(listener: (gapMs: number) => void): void {
+    this.#listeners.add(listener);
+  }
+
+  /** Stops the periodic check. */
+  close(): void {
+    this.#subscription.cancel();
+  }
+}
--- /dev/null
+++ b/timer/real_timer.ts
@@ -0,0 +1,26 @@
+import type { Subscription, TimerService } from './timer_service.ts';
+
+/** A {@linkcode TimerService} over the monotonic clock of the process. */
+export class RealTimer implements TimerService {
+  now(): number {
+    return performance.now();
+  }
+
+  after(delayMs: number, listener: () => void): Subscription {
+    const handle = setTimeout(listener, Math.max(0, delayMs));
+    return {
+      cancel: () => {
+        clearTimeout(handle);
+      },
+    };
+  }
+
+  every(periodMs: number, listener: () => void): Subscription {
+    const handle = setInterval(listener, periodMs);
+    return {
+      cancel: () => {
+        clearInterval(handle);
+      },
+    };
+  }
+}
