Prove the promises over real daemons with fakes and virtual time

Cause: the thin path had no test of what must hold under failure.

Found by these tests, before and after: - a key whose owner had restarted was refused "not run: unknown-route", since the way to the own daemon sent owner attempts to the guard; now "unknown: key-owner-gone" - a resend after a planned stop was refused "not run: target-down" although the call had run; a failed send is now not-sent, and the successor is asked; now the kept answer - a daemon restarted while the platform was down stayed at version 0; it now asks each peer that links to it; now at the version in force - a refusal at the door (not ready, bad deadline) of a call that carries a key said "not run"; only the owner of the key can tell; now "unknown"

--- a/contract/call.ts
+++ b/contract/call.ts
@@ -60,6 +60,8 @@
 
 /** How an attempt ended without an answer. */
 export enum FailureKind {
+  /** Nothing of the attempt reached the executor. */
+  NotSent = 'not-sent',
   /** The target did not run the call and will not. */
   Refused = 'refused',
   /** The link broke first: the executor may know more. */
@@ -68,6 +70,14 @@
   Unknown = 'unknown',
 }
 
+/**
+ * @param kind How an attempt ended.
+ * @returns Whether its target did not run the call and will not.
+ */
+export function isNotRun(kind: FailureKind): boolean {
+  return kind === FailureKind.NotSent || kind === FailureKind.Refused;
+}
+
 /** An attempt without an answer. */
 export interface AttemptFailure {
   kind: FailureKind;
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -125,6 +125,7 @@
       timer,
       instanceId: instance.id,
       region: () => this.#region,
+      objection: () => this.#objectionToCall(),
       canIssue: () => this.#scene.geography.isIn(instance.failureDomain),
       incarnation: this.incarnation,
       ...settings.keys,
@@ -266,6 +267,7 @@
       dialer,
       onOpen: (link) => {
         if (this.#isLeaving) link.sendFrame({ kind: FrameKind.Leaving });
+        if (this.#stage === LifeStage.Starting) this.spread.ask(link);
       },
       services: {
         timer: this.#timer,
--- /dev/null
+++ b/daemon/promises_test.ts
@@ -0,0 +1,248 @@
+import t from 'tap';
+import {
+  CrashStep,
+  EXAMPLE_DOMAINS,
+  ServiceState,
+  WayState,
+  World,
+  exampleConfiguration,
+  type WorldCall,
+  type WorldResult,
+} from '../fakes/mod.ts';
+import { FrameKind } from '../link/mod.ts';
+
+const placings = ['boards', 'results'].flatMap((pool) =>
+  EXAMPLE_DOMAINS.map((failureDomain) => ({ pool, failureDomain })),
+);
+
+const resultCall: WorldCall = { method: 'POST', target: '/results', body: '1-0', runId: 'result' };
+
+function startWorld(): Promise<World> {
+  return World.start({ configuration: exampleConfiguration(), placings });
+}
+
+async function issueKey(world: World, id: string, call: WorldCall = resultCall): Promise<string> {
+  const { nextKey } = await world.callNow(id, call);
+  return nextKey ?? 'none';
+}
+
+function describe({ outcome, text, nextKey }: WorldResult): string {
+  return `${outcome}: ${text}${nextKey === undefined ? '' : ' (next key)'}`;
+}
+
+function runsOf(world: World, runId = 'result'): string {
+  return `runs=${world.runs.get(runId) ?? 0}`;
+}
+
+void t.test('daemon.serve() answers or refuses calls to idempotent routes', async (t) => {
+  const world = await startWorld();
+  const calls: Record<string, WorldCall> = {
+    'a known route': { target: '/boards/3?round=2' },
+    'an unknown route': { target: '/clocks' },
+    'an unknown method': { target: '/boards', method: 'DELETE' },
+    'an unknown workspace': { target: '/boards', workspace: 'plato' },
+    'a passed deadline': { target: '/boards', deadlineMs: 0 },
+    'a deadline below the service time': { target: '/boards', deadlineMs: 3 },
+  };
+  for (const [name, call] of Object.entries(calls)) {
+    t.matchSnapshot(describe(await world.callNow('boards-centro-a', call)), name);
+  }
+});
+
+void t.test('daemon.serve() runs a non-idempotent call once under its key', async (t) => {
+  const world = await startWorld();
+  const seen: string[] = [];
+  const send = async (id: string, call: WorldCall) => {
+    seen.push(`${id} ${describe(await world.callNow(id, call))} ${runsOf(world)}`);
+  };
+  await send('boards-centro-a', resultCall);
+  const key = await issueKey(world, 'boards-centro-a');
+  await send('boards-centro-a', { ...resultCall, key });
+  await send('boards-centro-a', { ...resultCall, key });
+  await send('results-norte-b', { ...resultCall, key });
+  await send('boards-centro-a', { ...resultCall, key, body: '0-1' });
+  await send('boards-norte-a', { ...resultCall, key, workspace: 'norte-club' });
+  await send('boards-centro-a', { ...resultCall, key: `${key.slice(0, -2)}xx` });
+  await send('boards-centro-a', { ...resultCall, key: 'chosen-by-the-caller' });
+  t.matchSnapshot(seen, 'sends');
+});
+
+void t.test('daemon.serve() joins a resend to the call that runs', async (t) => {
+  const world = await startWorld();
+  const key = await issueKey(world, 'boards-centro-a');
+  const first = world.call('boards-centro-a', { ...resultCall, key });
+  await world.timer.advance(2);
+  const second = world.call('boards-norte-a', { ...resultCall, key });
+  const ends = await world.until(Promise.all([first, second]));
+  t.matchSnapshot([...ends.map(describe), runsOf(world)], 'both ends');
+});
+
+void t.test('daemon.serve() tells the truth when the executor crashes', async (t) => {
+  for (const step of Object.values(CrashStep)) {
+    const world = await startWorld();
+    const key = await issueKey(world, 'boards-centro-a');
+    for (const { target } of world.members) target.crashNext = step;
+    const result = await world.callNow('boards-centro-a', { ...resultCall, key });
+    const again = await world.callNow('boards-norte-a', { ...resultCall, key });
+    t.matchSnapshot([describe(result), describe(again), runsOf(world)], step);
+  }
+});
+
+void t.test('daemon.serve() settles a call whose link broke', async (t) => {
+  for (const brokenAt of [FrameKind.Call, FrameKind.Answer]) {
+    const world = await startWorld();
+    const key = await issueKey(world, 'boards-centro-a');
+    let isArmed = true;
+    world.network.filter = (frame) => {
+      if (!isArmed || frame.kind !== brokenAt) return [{ frame, delayMs: 0 }];
+      isArmed = false;
+      for (const { instance } of world.members) world.network.breakAll(instance.peerAddress);
+      return [];
+    };
+    const result = await world.callNow('boards-centro-a', { ...resultCall, key });
+    t.matchSnapshot([describe(result), runsOf(world)], `lost ${FrameKind[brokenAt]}`);
+  }
+});
+
+void t.test('daemon.serve() fences a call that arrives late', async (t) => {
+  const world = await startWorld();
+  const key = await issueKey(world, 'boards-centro-a');
+  let isArmed = true;
+  world.network.filter = (frame) => {
+    if (!isArmed || frame.kind !== FrameKind.Call) return [{ frame, delayMs: 0 }];
+    isArmed = false;
+    return [
+      { frame, delayMs: 0 },
+      { frame: { ...frame, stream: frame.stream + 100 }, delayMs: 700 },
+    ];
+  };
+  const result = await world.callNow('boards-centro-a', { ...resultCall, key });
+  await world.timer.advance(2_000);
+  t.matchSnapshot([describe(result), runsOf(world)], 'a call delivered twice');
+});
+
+void t.test('daemon.serve() never runs a key again whose owner is gone', async (t) => {
+  const world = await startWorld();
+  const key = await issueKey(world, 'boards-centro-a');
+  const spare = await issueKey(world, 'boards-centro-a');
+  const first = await world.callNow('boards-centro-a', { ...resultCall, key });
+  world.restartDaemon('boards-centro-a');
+  await world.timer.advance(1_000);
+  const resend = await world.callNow('boards-norte-a', { ...resultCall, key });
+  const unused = await world.callNow('boards-centro-a', { ...resultCall, key: spare });
+  t.matchSnapshot([first, resend, unused].map(describe).concat(runsOf(world)), 'ends');
+});
+
+void t.test('daemon.drain() hands keys to a successor', async (t) => {
+  const world = await startWorld();
+  const key = await issueKey(world, 'boards-centro-a');
+  const spare = await issueKey(world, 'boards-centro-a');
+  const open = world.call('boards-centro-a', { ...resultCall, key });
+  await world.timer.advance(1);
+  const drained = await world.until(world.member('boards-centro-a').daemon.drain());
+  world.stopDaemon('boards-centro-a');
+  const resend = await world.callNow('boards-norte-a', { ...resultCall, key });
+  const unused = { ...resultCall, key: spare, runId: 'second', body: '0-1' };
+  const late = await world.callNow('results-centro-b', unused);
+  const ends = [await open, resend, late].map(describe);
+  t.matchSnapshot([...ends, runsOf(world), runsOf(world, 'second')], 'ends');
+  t.match(drained, { accepted: 1, lost: 0 });
+});
+
+void t.test('daemon.serve() keeps a bound call in its home regions', async (t) => {
+  const world = await startWorld();
+  const bound = { ...resultCall, workspace: 'norte-club' };
+  const away = await world.callNow('boards-centro-a', bound);
+  const key = await issueKey(world, 'boards-norte-a', bound);
+  const home = await world.callNow('boards-norte-a', { ...bound, key });
+  const awayWithKey = await world.callNow('boards-centro-a', { ...bound, key });
+  const ranIn = world.members
+    .filter(({ target }) => target.runs > 0)
+    .map(({ instance }) => instance.id);
+  t.matchSnapshot([away, home, awayWithKey].map(describe).concat(runsOf(world), ranIn), 'ends');
+});
+
+void t.test('guard refuses work in a failure domain that was taken out', async (t) => {
+  const world = await startWorld();
+  const out = EXAMPLE_DOMAINS.filter((name) => name !== 'norte-b');
+  world.platform.publish(exampleConfiguration({ version: 2, out }));
+  await world.timer.advance(2_000);
+  const before = world.members.map(({ target }) => target.runs);
+  const results = [];
+  for (const { instance } of world.members) {
+    results.push(describe(await world.callNow(instance.id, { target: '/boards/1' })));
+  }
+  const ran = world.members
+    .filter(({ target }, index) => target.runs > (before[index] ?? 0))
+    .map(({ instance }) => instance.id);
+  t.matchSnapshot([...new Set(results), ...ran], 'all but norte-b out');
+  world.platform.publish(exampleConfiguration({ version: 3 }));
+  await world.timer.advance(2_000);
+  const back = await world.callNow('boards-centro-a', { target: '/boards/1' });
+  t.matchSnapshot(describe(back), 'back in');
+});
+
+void t.test('configuration never reverts and spreads without the platform', async (t) => {
+  const world = await startWorld();
+  const versions = () =>
+    [...new Set(world.members.map(({ daemon }) => daemon.status.configurationVersion))].join(',');
+  const seen: string[] = [];
+  const step = async (name: string, act: () => void) => {
+    act();
+    await world.timer.advance(8_000);
+    seen.push(`${name}: versions ${versions()}`);
+  };
+  await step('published', () => {
+    world.platform.publish(exampleConfiguration({ version: 2 }));
+  });
+  await step('service down, one daemon restarted', () => {
+    world.platform.setState(ServiceState.Down);
+    world.restartDaemon('boards-centro-a');
+  });
+  await step('service back with an old version', () => {
+    world.platform.setState(ServiceState.Up);
+    world.platform.publish(exampleConfiguration({ version: 1 }));
+  });
+  await step('one daemon restarted while the service is stale', () => {
+    world.restartDaemon('results-norte-a');
+  });
+  await step('a version with findings', () => {
+    const broken = exampleConfiguration({ version: 3 });
+    world.platform.publish({ ...broken, pools: [] });
+  });
+  const { rejected } = world.member('boards-centro-b').daemon.status;
+  t.matchSnapshot([...seen, ...(rejected?.findings ?? ['none'])], 'versions in force');
+});
+
+void t.test('daemon acts on nothing old after a pause', async (t) => {
+  const world = await startWorld();
+  const key = await issueKey(world, 'boards-centro-a');
+  const silent = world.members.map(({ instance }) => instance.peerAddress);
+  const [paused = ''] = silent;
+  for (const other of silent) world.network.setWay(paused, other, WayState.Silent);
+  await world.timer.advance(100);
+  for (const other of silent) world.network.setWay(paused, other, WayState.Up);
+  world.timer.jump(20_000);
+  const atWake = await world.call('boards-centro-a', { ...resultCall, key });
+  await world.timer.advance(3_000);
+  const later = await world.callNow('boards-centro-a', { ...resultCall, key });
+  t.matchSnapshot([describe(atWake), describe(later), runsOf(world)], 'ends');
+});
+
+void t.test('quarantine blocks a call that crashes each target', async (t) => {
+  const world = await startWorld();
+  const poison: WorldCall = { target: '/halls/9', headers: [['x-poison', '1']] };
+  const seen: string[] = [];
+  for (let round = 0; round < 3; round += 1) {
+    seen.push(describe(await world.callNow('results-centro-a', poison)));
+    seen.push(
+      `innocent ${describe(await world.callNow('results-centro-a', { target: '/halls/1' }))}`,
+    );
+    await world.timer.advance(2_000);
+  }
+  const starts = world.members.map(({ target }) => target.starts - 1);
+  seen.push(`crashes=${starts.reduce((sum, each) => sum + each, 0)}`);
+  await world.timer.advance(90_000);
+  seen.push(`later ${describe(await world.callNow('results-centro-a', { target: '/halls/9' }))}`);
+  t.matchSnapshot(seen, 'rounds');
+});
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -6,6 +6,7 @@
   Repeatability,
   ReplayableBody,
   RetryBudget,
+  isNotRun,
   notRun,
   unknown,
   type Answer,
@@ -101,7 +102,7 @@
       const result = await this.#try(call, decision, fingerprint);
       if (result.isOk()) return ok(result.value);
       const { kind, refusal } = result.error;
-      mayHaveRun ||= kind !== FailureKind.Refused;
+      mayHaveRun ||= !isNotRun(kind);
       if (!isRepeatable(call, result.error)) return err(conclude(refusal, mayHaveRun));
       if (!budget.tryTake()) return err(conclude(refusal, mayHaveRun));
     }
@@ -142,7 +143,7 @@
     const opened = await this.#options.peers.open(decision.instance);
     if (opened.isErr()) {
       decision.candidate.view.begin()(AttemptSign.Lost);
-      return err({ kind: FailureKind.Refused, refusal: opened.error, load: undefined });
+      return err({ kind: FailureKind.NotSent, refusal: opened.error, load: undefined });
     }
     const attempt = this.#makeAttempt(call, fingerprint);
     const ended = await this.#send({ decision, attempt, port: opened.value });
@@ -232,7 +233,7 @@
   if (call.signal.aborted || call.deadline.hasPassed) return false;
   if (failure.refusal.reason === RefusalReason.Quarantined) return false;
   if (call.body instanceof ReplayableBody && call.body.isSpent) return false;
-  if (failure.kind === FailureKind.Refused) return true;
+  if (isNotRun(failure.kind)) return true;
   return call.route.repeatability === Repeatability.Idempotent;
 }
 
@@ -246,5 +247,5 @@
     return result.value.status >= SERVER_ERROR_STATUS ? AttemptSign.Failed : AttemptSign.Answered;
   }
   if (call.signal.aborted) return AttemptSign.Abandoned;
-  return result.error.kind === FailureKind.Refused ? AttemptSign.Refused : AttemptSign.Lost;
+  return isNotRun(result.error.kind) ? AttemptSign.Refused : AttemptSign.Lost;
 }
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -103,7 +103,7 @@
     const startMs = this.#options.timer.now();
     const admitted = this.#admit(req, callId);
     const result = admitted.isErr()
-      ? err<Answer, Refusal>(admitted.error)
+      ? err<Answer, Refusal>(withoutProof(admitted.error, req.key))
       : await this.#execute(admitted.value, req);
     this.#open -= 1;
     this.#logEnd(callId, result, startMs);
@@ -189,7 +189,7 @@
   async #executeKeyed(call: Call): Promise<Result<Answer, Refusal>> {
     if (call.key === undefined) return err(this.#keyRequired(call.route));
     const body = await collectBody(call.body, call.route.bodyLimitBytes);
-    if (body.isErr()) return err(bodyRefusal(body.error, call.route));
+    if (body.isErr()) return err(withoutProof(bodyRefusal(body.error, call.route), call.key));
     const whole = { ...call, body: body.value };
     return this.#options.relay.run(whole, () => this.runOwned(whole));
   }
@@ -246,6 +246,11 @@
   }
 }
 
+/** Only the owner of a key can tell that no earlier call under it has run. */
+function withoutProof(refusal: Refusal, key: string | undefined): Refusal {
+  return key === undefined ? refusal : { ...refusal, outcome: Outcome.Unknown };
+}
+
 function checkSize(route: Route, req: CallerRequest): Result<Route, Refusal> {
   const size = req.announcedBytes;
   if (size === undefined || size <= route.bodyLimitBytes) return ok(route);
--- a/entry/key_relay.ts
+++ b/entry/key_relay.ts
@@ -4,9 +4,9 @@
   FailureKind,
   Leg,
   RefusalReason,
-  notRun,
   unknown,
   type Answer,
+  type AttemptFailure,
   type AttemptResult,
   type Call,
   type Refusal,
@@ -54,7 +54,8 @@
     const claims = read.value;
     if (this.#options.owner.holds(claims.incarnation)) return runHere();
     if (!call.route.homeRegions.permits(claims.region)) {
-      return err(notRun(RefusalReason.KeyInvalid, 'the key was issued outside the home regions'));
+      const detail = 'the key was issued outside the home regions';
+      return err(unknown(RefusalReason.KeyInvalid, detail));
     }
     return this.#runAtHolder(call, claims);
   }
@@ -82,9 +83,7 @@
     const opened = await this.#options.peers.open(holder);
     if (opened.isErr()) return undefined;
     const result = await this.#send(call, opened.value);
-    const isElsewhere =
-      result.isErr() && result.error.refusal.reason === RefusalReason.KeyOwnerGone;
-    return isElsewhere ? undefined : result;
+    return result.isErr() && isElsewhere(result.error) ? undefined : result;
   }
 
   #send(call: Call, port: PeerPort): Promise<AttemptResult> {
@@ -105,6 +104,10 @@
   }
 }
 
+function isElsewhere({ kind, refusal }: AttemptFailure): boolean {
+  return kind === FailureKind.NotSent || refusal.reason === RefusalReason.KeyOwnerGone;
+}
+
 /** Options of {@linkcode successorsOf}. */
 export interface SuccessorsOptions {
   fleet: Fleet;
--- a/entry/settle_attempt.ts
+++ b/entry/settle_attempt.ts
@@ -54,7 +54,7 @@
     }
     if (opened.isOk()) {
       result = await opened.value.settle({ sender, sequence }, deadline);
-      if (result.isOk() || result.error.kind !== FailureKind.Lost) break;
+      if (result.isOk() || isFinal(result.error.kind)) break;
     }
     await sleep(timer, RETRY_DELAY_MS);
   }
@@ -68,6 +68,10 @@
   return result;
 }
 
+function isFinal(kind: FailureKind): boolean {
+  return kind === FailureKind.Refused || kind === FailureKind.Unknown;
+}
+
 function lost(detail: string): AttemptFailure {
   const refusal = unknown(RefusalReason.AnswerLost, detail);
   return { kind: FailureKind.Lost, refusal, load: undefined };
--- /dev/null
+++ b/fakes/example_configuration.ts
@@ -0,0 +1,41 @@
+import type { ConfigurationDocument } from '../platform/mod.ts';
+import { configurationSchema } from '../platform/mod.ts';
+
+/** Changes to the example of {@linkcode exampleConfiguration}. */
+export interface ExampleOptions {
+  version?: number;
+  /** Failure domains that are taken out. */
+  out?: readonly string[];
+}
+
+/** Failure domains of the example: two in each of two regions. */
+export const EXAMPLE_DOMAINS = ['centro-a', 'centro-b', 'norte-a', 'norte-b'] as const;
+
+/**
+ * @param options See {@linkcode ExampleOptions}.
+ * @returns A small configuration: one pool of boards and one of results, and a bound workspace.
+ */
+export function exampleConfiguration({
+  version = 1,
+  out = [],
+}: ExampleOptions = {}): ConfigurationDocument {
+  const failureDomains = EXAMPLE_DOMAINS.map((name) => ({
+    name,
+    region: `ar-${name.split('-')[0] ?? ''}`,
+    state: out.includes(name) ? 'out' : 'in',
+  }));
+  const board = { workspace: 'plata', methods: ['GET', 'PUT'], pool: 'boards', idempotent: true };
+  const result = { methods: ['POST'], path: '/results', pool: 'results', idempotent: false };
+  return configurationSchema.parse({
+    version,
+    failureDomains,
+    workspaces: [{ name: 'plata' }, { name: 'norte-club', homeRegions: ['ar-norte'] }],
+    pools: ['boards', 'results'].map((name) => ({ name, slots: 6, queueLength: 8 })),
+    routes: [
+      { ...board, name: 'read-board', path: '/boards' },
+      { ...board, name: 'read-hall', path: '/halls', quarantine: true },
+      { ...result, name: 'post-result', workspace: 'plata' },
+      { ...result, name: 'post-norte-result', workspace: 'norte-club' },
+    ],
+  });
+}
--- /dev/null
+++ b/fakes/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Fakes at the daemons' interfaces, with virtual time, for tests and experiments.
+ *
+ * @module
+ */
+export * from './example_configuration.ts';
+export * from './fake_platform.ts';
+export * from './fake_target.ts';
+export * from './memory_network.ts';
+export * from './world.ts';
--- /dev/null
+++ b/fakes/world.ts
@@ -0,0 +1,322 @@
+import { err, type Result } from 'neverthrow';
+import { Outcome, WholeBody, collectBody, type Headers } from '../contract/mod.ts';
+import { Daemon } from '../daemon/mod.ts';
+import type { CallerReply } from '../entry/mod.ts';
+import { MemoryLog, type EventLog } from '../event_log/mod.ts';
+import { LifeStage, type Instance } from '../instance/mod.ts';
+import type { DialError, Dialer, FrameChannel } from '../link/mod.ts';
+import type { ConfigurationDocument } from '../platform/mod.ts';
+import { settingsSchema, type Settings } from '../settings/mod.ts';
+import {
+  TargetFailureKind,
+  type TargetAnswer,
+  type TargetFailure,
+  type TargetPort,
+} from '../target/mod.ts';
+import { VirtualTimer } from '../timer/mod.ts';
+import { FakePlatform } from './fake_platform.ts';
+import { FakeTarget, RUN_ID_HEADER } from './fake_target.ts';
+import { MemoryNetwork } from './memory_network.ts';
+
+const ANSWER_LIMIT_BYTES = 16_777_216;
+const START_MS = 1_000;
+
+/** One daemon with its target. */
+export interface WorldMember {
+  instance: Instance;
+  target: FakeTarget;
+  daemon: Daemon;
+  log: MemoryLog;
+  /** Aborted when the daemon's process has ended. */
+  ended: AbortController;
+}
+
+/** One instance to put into a {@linkcode World}. */
+export interface WorldPlacing {
+  pool: string;
+  failureDomain: string;
+  /** Name; made of pool and failure domain by default. */
+  id?: string;
+}
+
+/** Options of {@linkcode World.start}. */
+export interface WorldOptions {
+  configuration: ConfigurationDocument;
+  placings: readonly WorldPlacing[];
+  /** One-way delay between two failure domains, in milliseconds. */
+  delayMs?: (fromDomain: string, toDomain: string) => number;
+  /** Further settings of each daemon. */
+  settings?: Partial<Pick<Settings, 'decisions' | 'keys' | 'quarantine' | 'drainTimeoutMs'>>;
+  /** @returns Time of the next call at a target, in milliseconds. */
+  serviceMs?: (target: string) => number;
+  /** Log of each daemon; one in memory by default. */
+  logLength?: number;
+}
+
+/** A call to make in a {@linkcode World}. */
+export interface WorldCall {
+  method?: string;
+  target: string;
+  workspace?: string;
+  key?: string;
+  headers?: Headers;
+  body?: string;
+  /** Name for counting runs. */
+  runId?: string;
+  deadlineMs?: number;
+  signal?: AbortSignal;
+}
+
+/** How a call in a {@linkcode World} ended. */
+export interface WorldResult {
+  outcome: Outcome;
+  /** Reason of the refusal, or the text of the answer. */
+  text: string;
+  nextKey: string | undefined;
+  status: number | undefined;
+}
+
+/** Real daemons in one process, with fakes at their interfaces and virtual time. */
+export class World {
+  readonly timer = new VirtualTimer();
+  readonly network: MemoryNetwork;
+  readonly platform: FakePlatform;
+  readonly members: WorldMember[] = [];
+  /** Runs of each call at any target, counted apart from the daemons. */
+  readonly runs = new Map<string, number>();
+  readonly #options: WorldOptions;
+  #incarnations = 0;
+
+  private constructor(options: WorldOptions) {
+    this.#options = options;
+    const delayMs = options.delayMs ?? (() => 1);
+    this.network = new MemoryNetwork(this.timer, {
+      delayMs: (from, to) => delayMs(domainOf(from), domainOf(to)),
+    });
+    this.platform = new FakePlatform(this.timer, options.configuration);
+  }
+
+  /**
+   * @param options See {@linkcode WorldOptions}.
+   * @returns The world, once its daemons serve.
+   */
+  static async start(options: WorldOptions): Promise<World> {
+    const world = new World(options);
+    for (const placing of options.placings) world.add(placing);
+    world.list();
+    await world.timer.advance(START_MS);
+    return world;
+  }
+
+  /**
+   * Adds an instance and starts its daemon; the list does not name it yet.
+   *
+   * @param placing Where it stands.
+   * @returns The instance with its daemon.
+   */
+  add(placing: WorldPlacing): WorldMember {
+    const id = placing.id ?? `${placing.pool}-${placing.failureDomain}`;
+    const { pool, failureDomain } = placing;
+    const address = `${id}@${failureDomain}`;
+    const instance: Instance = {
+      id,
+      pool,
+      failureDomain,
+      peerAddress: address,
+      callerAddress: address,
+      stage: LifeStage.Live,
+    };
+    const target = this.#makeTarget(id);
+    const member = { instance, target, ...this.#startDaemon(instance, target) };
+    this.members.push(member);
+    return member;
+  }
+
+  /** Has the platform list the instances that there are. */
+  list(): void {
+    this.platform.list(this.members.map(({ instance }) => instance));
+  }
+
+  /**
+   * @param id Name of an instance.
+   * @returns The instance with its daemon.
+   */
+  member(id: string): WorldMember {
+    const found = this.members.find(({ instance }) => instance.id === id);
+    if (!found) throw new Error(`expected an instance of the world, got "${id}"`);
+    return found;
+  }
+
+  /**
+   * Ends a daemon's process without warning and starts another in its place.
+   *
+   * @param id Name of the instance.
+   */
+  restartDaemon(id: string): void {
+    const member = this.member(id);
+    this.stopDaemon(id);
+    Object.assign(member, this.#startDaemon(member.instance, member.target));
+  }
+
+  /**
+   * Ends a daemon's process without warning.
+   *
+   * @param id Name of the instance.
+   */
+  stopDaemon(id: string): void {
+    const { instance, daemon, ended } = this.member(id);
+    ended.abort();
+    this.network.listen(instance.peerAddress, undefined);
+    this.network.breakAll(instance.peerAddress);
+    daemon.kill();
+  }
+
+  /**
+   * Makes a call at a daemon; time must be advanced for it to end.
+   *
+   * @param id Name of the daemon's instance.
+   * @param call The call.
+   * @returns How it ended.
+   */
+  call(id: string, call: WorldCall): Promise<WorldResult> {
+    const { daemon, ended } = this.member(id);
+    const reply = daemon.serve({
+      workspace: call.workspace ?? 'plata',
+      host: 'localhost',
+      method: call.method ?? 'GET',
+      target: call.target,
+      headers: [...(call.headers ?? []), [RUN_ID_HEADER, call.runId ?? call.target]],
+      announcedBytes: call.body?.length ?? 0,
+      body: new WholeBody(Buffer.from(call.body ?? '')),
+      deadline: call.deadlineMs === undefined ? undefined : String(call.deadlineMs),
+      depth: undefined,
+      key: call.key,
+      signal: call.signal ?? new AbortController().signal,
+    });
+    return Promise.race([reply.then(readReply), untilEnded(ended.signal)]);
+  }
+
+  /**
+   * Makes a call and advances time until it has ended.
+   *
+   * @param id Name of the daemon's instance.
+   * @param call The call.
+   * @returns How it ended.
+   */
+  async callNow(id: string, call: WorldCall): Promise<WorldResult> {
+    return this.until(this.call(id, call));
+  }
+
+  /**
+   * Advances time until a promise settles.
+   *
+   * @param pending The promise.
+   * @returns Its value.
+   */
+  async until<T>(pending: Promise<T>): Promise<T> {
+    let isSettled = false;
+    const watched = pending.finally(() => {
+      isSettled = true;
+    });
+    const isPending = () => !isSettled;
+    while (isPending()) await this.timer.advance(1);
+    return watched;
+  }
+
+  #makeTarget(name: string): FakeTarget {
+    const { serviceMs } = this.#options;
+    return new FakeTarget({
+      name,
+      timer: this.timer,
+      onRun: (runId) => this.runs.set(runId, (this.runs.get(runId) ?? 0) + 1),
+      serviceMs: serviceMs && (() => serviceMs(name)),
+    });
+  }
+
+  #startDaemon(
+    instance: Instance,
+    target: FakeTarget,
+  ): Pick<WorldMember, 'daemon' | 'log' | 'ended'> {
+    this.#incarnations += 1;
+    const ended = new AbortController();
+    const log = new MemoryLog(this.#options.logLength ?? 4_096);
+    const daemon = new Daemon({
+      settings: this.#settingsOf(instance),
+      timer: this.timer,
+      log: log satisfies EventLog,
+      dialer: mortalDialer(this.network.dialerFrom(instance.peerAddress), ended.signal),
+      platform: this.platform,
+      target: mortalTarget(target, ended.signal),
+      incarnation: `run-${this.#incarnations}`,
+    });
+    this.network.listen(instance.peerAddress, (channel) => void daemon.accept(channel));
+    void daemon.start();
+    return { daemon, log, ended };
+  }
+
+  #settingsOf({ id, pool, failureDomain }: Instance): Settings {
+    const settings = settingsSchema.parse({
+      instance: { id, pool, failureDomain },
+      callers: { port: 0 },
+      peers: { port: 0 },
+      operators: { port: 0 },
+      target: { url: 'http://localhost' },
+      platform: { url: 'http://localhost' },
+    });
+    const seeded = { ...settings.decisions, seed: this.#incarnations };
+    return { ...settings, decisions: seeded, ...this.#options.settings };
+  }
+}
+
+/** A process that has ended opens no connections. */
+function mortalDialer(dialer: Dialer, ended: AbortSignal): Dialer {
+  const dead: Result<FrameChannel, DialError> = err({ detail: 'the process has ended' });
+  return {
+    dial: (address) => (ended.aborted ? Promise.resolve(dead) : dialer.dial(address)),
+  };
+}
+
+/** A process that has ended sends nothing to its target. */
+function mortalTarget(target: FakeTarget, ended: AbortSignal): TargetPort {
+  const detail = 'the process has ended';
+  const dead: Result<TargetAnswer, TargetFailure> = err({
+    kind: TargetFailureKind.NotSent,
+    detail,
+  });
+  return {
+    run: (req) => (ended.aborted ? Promise.resolve(dead) : target.run(req)),
+    probe: () => (ended.aborted ? Promise.resolve(false) : target.probe()),
+  };
+}
+
+/** What a caller sees when the daemon's process ends before the answer. */
+function untilEnded(ended: AbortSignal): Promise<WorldResult> {
+  const broken = {
+    outcome: Outcome.Unknown,
+    text: 'connection broken',
+    nextKey: undefined,
+    status: undefined,
+  };
+  return new Promise((resolve) => {
+    if (ended.aborted) resolve(broken);
+    ended.addEventListener('abort', () => {
+      resolve(broken);
+    });
+  });
+}
+
+function domainOf(address: string): string {
+  return address.split('@')[1] ?? '';
+}
+
+async function readReply({ result, nextKey }: CallerReply): Promise<WorldResult> {
+  if (result.isErr()) {
+    const { outcome, reason } = result.error;
+    return { outcome, text: reason, nextKey, status: undefined };
+  }
+  const { status, body } = result.value;
+  const read = await collectBody(body, ANSWER_LIMIT_BYTES);
+  if (read.isErr()) return { outcome: Outcome.Unknown, text: 'cut', nextKey, status };
+  const text = Buffer.from(read.value.bytes).toString();
+  return { outcome: Outcome.Answered, text, nextKey, status };
+}
--- a/idempotency/key_owner.ts
+++ b/idempotency/key_owner.ts
@@ -35,6 +35,8 @@
   region: () => string | undefined;
   /** @returns Whether the daemon may take on new keys; always by default. */
   canIssue?: () => boolean;
+  /** @returns Why the daemon may start no execution now, if so. */
+  objection?: () => Refusal | undefined;
   incarnation: string;
   /** Life of a key, in milliseconds. */
   lifetimeMs?: number;
@@ -211,6 +213,8 @@
   ): Result<KeyRecord, Refusal> {
     if (this.#isFrozen)
       return err(notRun(RefusalReason.Leaving, 'the owner of the key is leaving'));
+    const objection = this.#options.objection?.();
+    if (objection) return err(objection);
     if (!this.#budget.tryReserve(RESERVED_BYTES)) {
       const detail = `no room for a further answer, ${this.#budget.usedBytes} bytes are kept`;
       return err(notRun(RefusalReason.KeyStoreFull, detail));
--- /dev/null
+++ b/link/execute_attempt.ts
@@ -0,0 +1,46 @@
+import type { Result } from 'neverthrow';
+import {
+  FailureKind,
+  Leg,
+  Outcome,
+  type Answer,
+  type Attempt,
+  type AttemptFailure,
+  type AttemptPort,
+  type AttemptResult,
+  type Call,
+  type Refusal,
+} from '../contract/mod.ts';
+
+/** The roles of a daemon that attempts are sent to. */
+export interface AttemptRoles {
+  /** Executes attempts at this daemon's target. */
+  guard: AttemptPort;
+  /** Runs a call under a key that this daemon owns. */
+  runOwned: (call: Call) => Promise<Result<Answer, Refusal>>;
+}
+
+/**
+ * Brings an attempt to the role that it is for.
+ *
+ * @param attempt The attempt.
+ * @param roles The roles of the receiving daemon.
+ * @returns How it ended.
+ */
+export async function executeAttempt(
+  attempt: Attempt,
+  roles: AttemptRoles,
+): Promise<AttemptResult> {
+  if (attempt.leg === Leg.Guard) return roles.guard.send(attempt);
+  const result = await roles.runOwned(attempt.call);
+  return result.mapErr(failureOf);
+}
+
+/**
+ * @param refusal A refusal by this daemon.
+ * @returns How an attempt ends by it.
+ */
+export function failureOf(refusal: Refusal): AttemptFailure {
+  const kind = refusal.outcome === Outcome.NotRun ? FailureKind.Refused : FailureKind.Unknown;
+  return { kind, refusal, load: undefined };
+}
--- a/link/link_table.ts
+++ b/link/link_table.ts
@@ -1,9 +1,10 @@
 import { err, ok, type Result } from 'neverthrow';
-import { RefusalReason, notRun, type AttemptPort, type Refusal } from '../contract/mod.ts';
+import { RefusalReason, notRun, type Refusal } from '../contract/mod.ts';
 import type { PeerDirectory, PeerPort } from '../entry/mod.ts';
 import { Event } from '../event_log/mod.ts';
 import type { Instance } from '../instance/mod.ts';
 import type { Dialer } from './dialer.ts';
+import { executeAttempt, type AttemptRoles } from './execute_attempt.ts';
 import { FrameKind, PROTOCOL_VERSION, type HelloFrame } from './frame.ts';
 import type { FrameChannel } from './frame_channel.ts';
 import { greet } from './greet.ts';
@@ -34,7 +35,7 @@
   /** @param options See {@linkcode LinkTableOptions}. */
   constructor(options: LinkTableOptions) {
     this.#options = options;
-    this.#own = ownPort(options.services.guard, options.incarnation);
+    this.#own = ownPort(options.services, options.incarnation);
   }
 
   /** @returns All open links. */
@@ -149,11 +150,12 @@
   }
 }
 
-function ownPort(guard: AttemptPort, incarnation: string): PeerPort {
+/** The way to this daemon itself, which needs no link. */
+function ownPort(roles: AttemptRoles, incarnation: string): PeerPort {
   return {
     incarnation,
-    send: (attempt) => guard.send(attempt),
-    settle: (id, deadline) => guard.settle(id, deadline),
+    send: (attempt) => executeAttempt(attempt, roles),
+    settle: (id, deadline) => roles.guard.settle(id, deadline),
   };
 }
 
--- a/link/mod.ts
+++ b/link/mod.ts
@@ -16,6 +16,7 @@
 export * from './caller_server.ts';
 export * from './dialer.ts';
 export * from './exchange.ts';
+export * from './execute_attempt.ts';
 export * from './flow_window.ts';
 export * from './frame.ts';
 export * from './frame_channel.ts';
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -2,8 +2,6 @@
 import {
   Deadline,
   FailureKind,
-  Leg,
-  Outcome,
   RefusalReason,
   Repeatability,
   WholeBody,
@@ -32,6 +30,7 @@
   toFailureFrame,
 } from './call_frames.ts';
 import { Exchange } from './exchange.ts';
+import { executeAttempt, failureOf } from './execute_attempt.ts';
 import {
   FrameKind,
   type CallFrame,
@@ -302,14 +301,14 @@
     const route = this.#services.route(frame.workspace, frame.route);
     if (!route) {
       const detail = `route "${frame.workspace}/${frame.route}" is unknown here`;
-      this.#sendEnd(exchange, err(refusedFailure(notRun(RefusalReason.UnknownRoute, detail))));
+      this.#sendEnd(exchange, err(failureOf(notRun(RefusalReason.UnknownRoute, detail))));
       return;
     }
     const incoming = frame.body ? undefined : this.#receiveBody(exchange);
     const { timer } = this.#services;
     const { signal } = exchange.controller;
     const attempt = fromCallFrame(frame, this.peer.incarnation, { timer, route, incoming, signal });
-    await this.#sendResult(exchange, await this.#execute(attempt));
+    await this.#sendResult(exchange, await executeAttempt(attempt, this.#services));
     incoming?.end('the attempt has ended');
   }
 
@@ -321,12 +320,6 @@
     await this.#sendResult(exchange, await this.#services.guard.settle(id, deadline));
   }
 
-  async #execute(attempt: Attempt): Promise<AttemptResult> {
-    if (attempt.leg === Leg.Guard) return this.#services.guard.send(attempt);
-    const result = await this.#services.runOwned(attempt.call);
-    return result.mapErr(refusedFailure);
-  }
-
   async #sendResult(exchange: Exchange, result: AttemptResult): Promise<void> {
     this.#sendEnd(exchange, result);
     if (result.isErr() || result.value.body instanceof WholeBody) return;
@@ -380,15 +373,10 @@
     RefusalReason.TargetDown,
     'the link had ended before the attempt was sent',
   );
-  return { kind: FailureKind.Refused, refusal, load: undefined };
+  return { kind: FailureKind.NotSent, refusal, load: undefined };
 }
 
 function lostFailure(detail: string): AttemptFailure {
   const refusal = unknown(RefusalReason.AnswerLost, detail);
   return { kind: FailureKind.Lost, refusal, load: undefined };
 }
-
-function refusedFailure(refusal: Refusal): AttemptFailure {
-  const kind = refusal.outcome === Outcome.NotRun ? FailureKind.Refused : FailureKind.Unknown;
-  return { kind, refusal, load: undefined };
-}
--- a/timer/virtual_timer.ts
+++ b/timer/virtual_timer.ts
@@ -1,3 +1,4 @@
+import TinyQueue from 'tinyqueue';
 import type { Subscription, TimerService } from './timer_service.ts';
 
 interface Entry {
@@ -5,12 +6,9 @@
   sequence: number;
   periodMs: number | undefined;
   listener: () => void;
-  cancelled: boolean;
+  isCancelled: boolean;
 }
 
-/** Turns of the microtask queue that {@linkcode VirtualTimer.settle} waits for. */
-const SETTLE_TURNS = 4;
-
 /**
  * A {@linkcode TimerService} whose clock moves only when told to, so that a
  * run with the same inputs gives the same order of events.
@@ -18,7 +16,7 @@
 export class VirtualTimer implements TimerService {
   #nowMs = 0;
   #sequence = 0;
-  readonly #entries = new Set<Entry>();
+  readonly #entries = new TinyQueue<Entry>([], compareEntries);
 
   now(): number {
     return this.#nowMs;
@@ -40,12 +38,12 @@
   async advance(durationMs: number): Promise<void> {
     const endMs = this.#nowMs + durationMs;
     await this.settle();
-    for (let entry = this.#nextDue(endMs); entry; entry = this.#nextDue(endMs)) {
-      this.#nowMs = entry.dueMs;
+    for (let entry = this.#takeDue(endMs); entry; entry = this.#takeDue(endMs)) {
+      this.#nowMs = Math.max(this.#nowMs, entry.dueMs);
       this.#fire(entry);
       await this.settle();
     }
-    this.#nowMs = endMs;
+    this.#nowMs = Math.max(this.#nowMs, endMs);
   }
 
   /**
@@ -59,50 +57,42 @@
   }
 
   /** Waits until tasks that are ready to run have run. */
-  async settle(): Promise<void> {
-    for (let turn = 0; turn < SETTLE_TURNS; turn += 1) {
-      await new Promise((resolve) => {
-        setImmediate(resolve);
-      });
-    }
+  settle(): Promise<void> {
+    return new Promise((resolve) => {
+      setImmediate(resolve);
+    });
   }
 
   #add(delayMs: number, periodMs: number | undefined, listener: () => void): Subscription {
     this.#sequence += 1;
     const dueMs = this.#nowMs + delayMs;
-    const entry: Entry = {
-      dueMs,
-      sequence: this.#sequence,
-      periodMs,
-      listener,
-      cancelled: false,
-    };
-    this.#entries.add(entry);
+    const entry = { dueMs, sequence: this.#sequence, periodMs, listener, isCancelled: false };
+    this.#entries.push(entry);
     return {
       cancel: () => {
-        entry.cancelled = true;
-        this.#entries.delete(entry);
+        entry.isCancelled = true;
       },
     };
   }
 
-  #nextDue(endMs: number): Entry | undefined {
-    let next: Entry | undefined;
-    for (const entry of this.#entries) {
-      if (entry.dueMs > endMs) continue;
-      if (!next || isBefore(entry, next)) next = entry;
+  #takeDue(endMs: number): Entry | undefined {
+    for (;;) {
+      const next = this.#entries.peek();
+      if (!next || next.dueMs > endMs) return undefined;
+      this.#entries.pop();
+      if (!next.isCancelled) return next;
     }
-    return next;
   }
 
   #fire(entry: Entry): void {
-    if (entry.periodMs === undefined) this.#entries.delete(entry);
-    else entry.dueMs = Math.max(this.#nowMs, entry.dueMs) + entry.periodMs;
+    if (entry.periodMs !== undefined) {
+      entry.dueMs = this.#nowMs + entry.periodMs;
+      this.#entries.push(entry);
+    }
     entry.listener();
   }
 }
 
-function isBefore(left: Entry, right: Entry): boolean {
-  if (left.dueMs !== right.dueMs) return left.dueMs < right.dueMs;
-  return left.sequence < right.sequence;
+function compareEntries(left: Entry, right: Entry): number {
+  return left.dueMs - right.dueMs || left.sequence - right.sequence;
 }
--- a/tooling/check.ts
+++ b/tooling/check.ts
@@ -13,13 +13,13 @@
 
 let failedSteps = 0;
 for (const { name, args } of STEPS) {
-  const { status } = spawnSync('npx', ['--no', ...args], { stdio: 'inherit' });
+  const { status } = spawnSync('npx', ['--no', '--', ...args], { stdio: 'inherit' });
   const isClean = status === 0;
   process.stdout.write(`${name}: ${isClean ? 'clean' : 'failed'}\n`);
   if (!isClean) failedSteps += 1;
 }
 
-const tests = spawnSync('npx', ['--no', 'tap', '--reporter=tap'], {
+const tests = spawnSync('npx', ['--no', '--', 'tap', '--reporter=tap'], {
   encoding: 'utf8',
   maxBuffer: 268_435_456,
 });
