--- a/contract/call.ts
+++ b/contract/call.ts
@@ -23,8 +23,10 @@
   depth: number;
   /** Issued idempotency key, if the caller sent one. */
   key: string | undefined;
-  /** Aborted when the caller has gone. */
+  /** Aborted when nobody waits for the answer any more. */
   signal: AbortSignal;
+  /** Aborts the signal. */
+  giveUp: () => void;
 }
 
 /** Which role of the receiving daemon an attempt is for. */
--- a/daemon/main.ts
+++ b/daemon/main.ts
@@ -31,16 +31,23 @@
   }
   const log = new ConsoleLog();
   const started = await DaemonProcess.start({ settings: settings.value, log });
-  stopOnSignal(started);
+  stopOnSignal(started, log);
 }
 
-function stopOnSignal(started: DaemonProcess): void {
+function stopOnSignal(started: DaemonProcess, log: ConsoleLog): void {
   let isDraining = false;
   const onSignal = () => {
-    if (isDraining) process.exit(EXIT_FAILED);
+    if (isDraining) end(log, EXIT_FAILED);
     isDraining = true;
-    void started.drain().then(() => process.exit(0));
+    void started.drain().then(() => {
+      end(log, 0);
+    });
   };
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
 }
+
+function end(log: ConsoleLog, code: number): void {
+  log.flush();
+  process.exit(code);
+}
--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -19,12 +19,14 @@
 
 /** Options of {@linkcode Deployment.start}. */
 export interface DeploymentOptions {
-  /** Path of the configuration, from the folder of examples. */
+  /** The configuration as JSON. */
   configuration: string;
   placings: readonly Placing[];
   behaviour?: Partial<TargetBehaviour>;
   /** Called with each run of a call at a target. */
   onRun?: (runId: string, target: string) => void;
+  /** Origin of one target for all, in place of a stand-in for each. */
+  targetUrl?: string;
   /** Further settings of each daemon. */
   settings?: object;
 }
@@ -52,9 +54,8 @@
    * @returns The deployment, once every daemon serves.
    */
   static async start(options: DeploymentOptions): Promise<Deployment> {
-    const platform = await PlatformStandIn.listen({
-      configuration: readExample(options.configuration),
-    });
+    const { configuration } = options;
+    const platform = await PlatformStandIn.listen({ configuration });
     const ports = await freePorts(options.placings.length * PORTS_PER_DAEMON);
     const members = await Promise.all(
       options.placings.map((placing, index) => {
@@ -116,7 +117,7 @@
     callers: { host, port: callerPort },
     peers: { host, port: peerPort },
     operators: { host, port: operatorPort },
-    target: { url: `http://${host}:${target.port}` },
+    target: { url: options.targetUrl ?? `http://${host}:${target.port}` },
     platform: { url: `http://${host}:${options.platformPort}` },
     decisions: { seed: options.index + 1 },
     ...options.settings,
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -7,7 +7,7 @@
 import { RUN_HEADER } from '../stand_in/mod.ts';
 import { RealTimer, sleep } from '../timer/mod.ts';
 import { CallTally, percentileMs } from './call_tally.ts';
-import { Deployment, type Placing } from './deployment.ts';
+import { Deployment, readExample, type Placing } from './deployment.ts';
 
 const CALLERS = 24;
 const THINK_MS = 40;
@@ -52,7 +52,7 @@
 async function run(keep: boolean, seconds: number): Promise<void> {
   process.stdout.write('Starting the platform stand-in, six targets and six daemons ...\n');
   const deployment = await Deployment.start({
-    configuration: 'plata/configuration.jsonc',
+    configuration: readExample('plata/configuration.jsonc'),
     placings: PLATA,
     onRun: (runId) => runs.set(runId, (runs.get(runId) ?? 0) + 1),
   });
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -49,8 +49,10 @@
   deadline: string | undefined;
   depth: string | undefined;
   key: string | undefined;
-  /** Aborted when the caller has gone. */
+  /** Aborted when nobody waits for the answer any more. */
   signal: AbortSignal;
+  /** Aborts the signal. */
+  giveUp: () => void;
 }
 
 /** The end of a call, for its caller. */
@@ -134,7 +136,7 @@
   }
 
   #makeCall(route: Route, req: CallerRequest, id: string): Result<Call, Refusal> {
-    const { method, target, headers, body, key, signal } = req;
+    const { method, target, headers, body, key, signal, giveUp } = req;
     return parseDeadlineMs(req.deadline, route.timeoutMs).andThen((leftMs) =>
       parseDepth(req.depth).map((depth) => ({
         id,
@@ -147,6 +149,7 @@
         depth,
         key,
         signal,
+        giveUp,
       })),
     );
   }
@@ -213,18 +216,12 @@
     call: Call,
     fingerprint: string | undefined,
   ): Promise<Result<Answer, Refusal>> {
-    const controller = new AbortController();
-    const stop = () => {
-      controller.abort();
-    };
     const isIdempotent = call.route.repeatability === Repeatability.Idempotent;
-    const expiry = isIdempotent ? this.#options.timer.after(call.deadline.leftMs, stop) : undefined;
-    call.signal.addEventListener('abort', stop);
-    if (call.signal.aborted) stop();
-    const { signal } = controller;
-    const result = await this.#options.dispatcher.dispatch({ ...call, signal }, fingerprint);
+    const expiry = isIdempotent
+      ? this.#options.timer.after(call.deadline.leftMs, call.giveUp)
+      : undefined;
+    const result = await this.#options.dispatcher.dispatch(call, fingerprint);
     expiry?.cancel();
-    if (result.isErr()) call.signal.removeEventListener('abort', stop);
     if (result.isErr() && call.deadline.hasPassed) return err(deadlineRefusal(result.error));
     return result;
   }
--- a/fakes/world.ts
+++ b/fakes/world.ts
@@ -64,7 +64,8 @@
   /** Name for counting runs. */
   runId?: string;
   deadlineMs?: number;
-  signal?: AbortSignal;
+  /** Aborted when the caller leaves. */
+  caller?: AbortController;
 }
 
 /** How a call in a {@linkcode World} ended. */
@@ -180,6 +181,7 @@
    */
   call(id: string, call: WorldCall): Promise<WorldResult> {
     const { daemon, ended } = this.member(id);
+    const caller = call.caller ?? new AbortController();
     const reply = daemon.serve({
       workspace: call.workspace ?? 'plata',
       host: 'localhost',
@@ -191,7 +193,10 @@
       deadline: call.deadlineMs === undefined ? undefined : String(call.deadlineMs),
       depth: undefined,
       key: call.key,
-      signal: call.signal ?? new AbortController().signal,
+      signal: caller.signal,
+      giveUp: () => {
+        caller.abort();
+      },
     });
     return Promise.race([reply.then(readReply), untilEnded(ended.signal)]);
   }
--- a/link/call_frames.ts
+++ b/link/call_frames.ts
@@ -49,6 +49,8 @@
   incoming: Body | undefined;
   /** Aborted when the sender gives up. */
   signal: AbortSignal;
+  /** Aborts the signal. */
+  giveUp: () => void;
 }
 
 /**
@@ -60,7 +62,7 @@
 export function fromCallFrame(
   frame: CallFrame,
   sender: string,
-  { timer, route, incoming, signal }: FromCallFrameOptions,
+  { timer, route, incoming, signal, giveUp }: FromCallFrameOptions,
 ): Attempt {
   const inline = frame.body ? new WholeBody(frame.body) : EMPTY_BODY;
   const call: Call = {
@@ -74,6 +76,7 @@
     depth: frame.depth,
     key: frame.key ?? undefined,
     signal,
+    giveUp,
   };
   return {
     sender,
--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -97,6 +97,9 @@
     depth: text(HeaderName.Depth),
     key: text(HeaderName.IdempotencyKey),
     signal: controller.signal,
+    giveUp: () => {
+      controller.abort();
+    },
   };
 }
 
@@ -126,18 +129,28 @@
 }
 
 function toResponse({ callId, result, nextKey }: CallerReply): Response {
-  const headers = new Headers({ [HeaderName.CallId]: callId });
-  if (nextKey !== undefined) headers.set(HeaderName.IdempotencyKey, nextKey);
+  const own: Record<string, string> = { [HeaderName.CallId]: callId };
+  if (nextKey !== undefined) own[HeaderName.IdempotencyKey] = nextKey;
   if (result.isErr()) {
-    const problem = toProblem(result.error, callId);
-    for (const [name, value] of Object.entries(problem.headers)) headers.set(name, value);
-    return new Response(problem.body, { status: problem.status, headers });
+    const { status, headers, body } = toProblem(result.error, callId);
+    return new Response(body, { status, headers: { ...own, ...headers } });
   }
-  const answer = result.value;
-  for (const [name, value] of answer.headers) headers.append(name, value);
-  headers.set(HeaderName.Outcome, Outcome.Answered);
-  const body = BODILESS_STATUS.has(answer.status) ? null : toResponseBody(answer.body);
-  return new Response(body, { status: answer.status, headers });
+  const { status, headers, body } = result.value;
+  own[HeaderName.Outcome] = Outcome.Answered;
+  const content = BODILESS_STATUS.has(status) ? null : toResponseBody(body);
+  return new Response(content, { status, headers: mergeHeaders(headers, own) });
+}
+
+/** A plain record is cheaper for the server than a list, but holds each name only once. */
+function mergeHeaders(
+  headers: CallHeaders,
+  own: Readonly<Record<string, string>>,
+): Record<string, string> | [string, string][] {
+  const record: Record<string, string> = Object.fromEntries(headers);
+  const hasRepeats = Object.keys(record).length < headers.length;
+  if (!hasRepeats) return { ...record, ...own };
+  const kept = headers.filter(([name]) => !(name in own));
+  return [...kept, ...Object.entries(own)].map(([name, value]) => [name, value]);
 }
 
 function toResponseBody(body: Body): Uint8Array<ArrayBuffer> | ReadableStream<Uint8Array> {
--- a/link/exchange.ts
+++ b/link/exchange.ts
@@ -6,19 +6,29 @@
   readonly stream: number;
   /** Permits this end to send its body. */
   readonly window = new FlowWindow();
-  /** Aborted when the other end gives up or the link ends. */
-  readonly controller = new AbortController();
   /** The body that the other end sends, once it has begun. */
   incoming: StreamBody | undefined;
+  #controller: AbortController | undefined;
 
   /** @param stream Number of the exchange on its link. */
   constructor(stream: number) {
     this.stream = stream;
   }
 
+  /** @returns A signal that is aborted when the exchange is cut; made when first read. */
+  get signal(): AbortSignal {
+    this.#controller ??= new AbortController();
+    return this.#controller.signal;
+  }
+
+  /** Aborts the signal, since nobody waits for the answer any more. */
+  giveUp(): void {
+    this.#controller?.abort();
+  }
+
   /** @param detail Why the exchange cannot go on. */
   cut(detail: string): void {
-    this.controller.abort();
+    this.giveUp();
     this.window.close();
     this.incoming?.end(detail);
   }
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -306,8 +306,12 @@
     }
     const incoming = frame.body ? undefined : this.#receiveBody(exchange);
     const { timer } = this.#services;
-    const { signal } = exchange.controller;
-    const attempt = fromCallFrame(frame, this.peer.incarnation, { timer, route, incoming, signal });
+    const { signal } = exchange;
+    const giveUp = () => {
+      exchange.giveUp();
+    };
+    const options = { timer, route, incoming, signal, giveUp };
+    const attempt = fromCallFrame(frame, this.peer.incarnation, options);
     await this.#sendResult(exchange, await executeAttempt(attempt, this.#services));
     incoming?.end('the attempt has ended');
   }
--- a/target/guard.ts
+++ b/target/guard.ts
@@ -17,13 +17,14 @@
   type AttemptId,
   type AttemptPort,
   type AttemptResult,
+  type Call,
   type Deadline,
   type LoadState,
   type Pool,
   type Refusal,
 } from '../contract/mod.ts';
 import type { EventLog } from '../event_log/mod.ts';
-import type { TimerService } from '../timer/mod.ts';
+import type { Subscription, TimerService } from '../timer/mod.ts';
 import { AttemptLedger } from './attempt_ledger.ts';
 import { makeLimit, type ConcurrencyLimit, type LimitKind } from './concurrency_limit.ts';
 import { Gate, type GateBounds } from './gate.ts';
@@ -229,25 +230,28 @@
     return ok(this.#releaseAfter(result.value));
   }
 
-  async #runTarget(attempt: Attempt): Promise<Result<TargetAnswer, TargetFailure>> {
-    const { call } = attempt;
-    const isIdempotent = call.route.repeatability === Repeatability.Idempotent;
-    const controller = new AbortController();
-    const cancel = () => {
-      controller.abort();
-    };
-    if (isIdempotent) call.signal.addEventListener('abort', cancel);
-    const graceMs = isIdempotent ? 0 : NON_IDEMPOTENT_GRACE_MS;
-    const expiry = this.#timer.after(call.deadline.leftMs + graceMs, cancel);
+  async #runTarget({ call }: Attempt): Promise<Result<TargetAnswer, TargetFailure>> {
     const { method, target, headers, body } = call;
-    const leftMs = call.deadline.leftMs;
-    const { signal } = controller;
+    const { leftMs } = call.deadline;
+    const { signal, expiry } = this.#executionLimit(call);
     const result = await this.#options.port.run({ method, target, headers, body, leftMs, signal });
     expiry.cancel();
-    if (result.isErr()) call.signal.removeEventListener('abort', cancel);
     return result;
   }
 
+  /** A non-idempotent call goes on when nobody waits, so that its answer can be kept. */
+  #executionLimit(call: Call): { signal: AbortSignal; expiry: Subscription } {
+    const { leftMs } = call.deadline;
+    if (call.route.repeatability === Repeatability.Idempotent) {
+      return { signal: call.signal, expiry: this.#timer.after(leftMs, call.giveUp) };
+    }
+    const controller = new AbortController();
+    const expiry = this.#timer.after(leftMs + NON_IDEMPOTENT_GRACE_MS, () => {
+      controller.abort();
+    });
+    return { signal: controller.signal, expiry };
+  }
+
   #recordEnd(
     attempt: Attempt,
     result: Result<TargetAnswer, TargetFailure>,
