--- a/contract/body.ts
+++ b/contract/body.ts
@@ -207,16 +207,28 @@
   }
 }
 
+/** Options of {@linkcode limitBody}. */
+export interface LimitBodyOptions {
+  /** Called once if the body exceeds the limit. */
+  onExceeded?: () => void;
+}
+
 /**
  * @param body A body of unknown size.
  * @param limitBytes Largest size to let through, in bytes.
+ * @param options See {@linkcode LimitBodyOptions}.
  * @returns The same body, cut off at the limit.
  */
-export async function* limitBody(body: Body, limitBytes: number): AsyncGenerator<BodyChunk> {
+export async function* limitBody(
+  body: Body,
+  limitBytes: number,
+  options: LimitBodyOptions = {},
+): AsyncGenerator<BodyChunk> {
   let size = 0;
   for await (const chunk of body) {
     if (chunk.isOk()) size += chunk.value.length;
     if (size > limitBytes) {
+      options.onExceeded?.();
       yield err({ detail: `expected a body of at most ${limitBytes} bytes, got more` });
       return;
     }
--- /dev/null
+++ b/daemon/bad_input_test.ts
@@ -0,0 +1,186 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { connect, type AddressInfo } from 'node:net';
+import t from 'tap';
+import { request } from 'undici';
+import { WebSocket } from 'ws';
+import { MemoryLog } from '../event_log/mod.ts';
+import { exampleConfiguration } from '../fakes/mod.ts';
+import { LifeStage } from '../instance/mod.ts';
+import { parseSettings } from '../settings/mod.ts';
+import { PlatformStandIn } from '../stand_in/mod.ts';
+import { DaemonProcess } from './mod.ts';
+
+const BODY_LIMIT_BYTES = 1_048_576;
+const LARGE_BYTES = 900_000;
+
+interface Bench {
+  target: Server;
+  platform: PlatformStandIn;
+  entry: DaemonProcess;
+  guard: DaemonProcess;
+  log: MemoryLog;
+  /** Calls whose connection the target saw closed before it answered. */
+  cancelled: string[];
+}
+
+/** A target that echoes, resets in the middle of an answer, or hangs until it is cancelled. */
+function serveTarget(cancelled: string[]) {
+  return (req: IncomingMessage, res: ServerResponse) => {
+    const path = req.url ?? '';
+    if (path.startsWith('/boards/reset')) {
+      res.writeHead(200, { 'content-length': 100 });
+      res.write('only the start', () => req.socket.resetAndDestroy());
+    } else if (path.startsWith('/boards/hang')) {
+      res.once('close', () => cancelled.push(path));
+    } else if (path.startsWith('/boards/large')) {
+      res.end(Buffer.alloc(LARGE_BYTES, 'x'));
+    } else if (path.startsWith('/boards/collect')) {
+      req.on('error', () => undefined);
+      req.resume().once('end', () => res.end());
+    } else {
+      req.on('error', () => undefined);
+      req.pipe(res);
+    }
+  };
+}
+
+async function startBench(): Promise<Bench> {
+  const cancelled: string[] = [];
+  const target = createServer(serveTarget(cancelled));
+  await new Promise<void>((resolve) => {
+    target.listen(0, '127.0.0.1', resolve);
+  });
+  const configuration = JSON.stringify(exampleConfiguration());
+  const platform = await PlatformStandIn.listen({ configuration, lagMs: 0 });
+  const log = new MemoryLog(1_000);
+  const [entry, guard] = await Promise.all([
+    startDaemon('results', { target, platform, log }),
+    startDaemon('boards', { target, platform, log }),
+  ]);
+  const instances = [entry, guard].map(({ daemon, peerPort, callerPort }) => ({
+    id: daemon.status.instance,
+    pool: daemon.status.pool,
+    failureDomain: 'centro-a',
+    peerAddress: `127.0.0.1:${peerPort}`,
+    callerAddress: `127.0.0.1:${callerPort}`,
+    stage: LifeStage.Live,
+  }));
+  platform.setInstances(instances);
+  while ([entry, guard].some(({ daemon }) => daemon.stage !== LifeStage.Live)) await turn();
+  return { target, platform, entry, guard, log, cancelled };
+}
+
+function startDaemon(
+  pool: string,
+  { target, platform, log }: Pick<Bench, 'target' | 'platform' | 'log'>,
+): Promise<DaemonProcess> {
+  const settings = parseSettings(
+    'test',
+    JSON.stringify({
+      instance: { id: pool, pool, failureDomain: 'centro-a' },
+      callers: { port: 0 },
+      peers: { port: 0 },
+      operators: { port: 0 },
+      target: { url: `http://127.0.0.1:${(target.address() as AddressInfo).port}` },
+      platform: { url: `http://127.0.0.1:${platform.port}` },
+    }),
+  );
+  return DaemonProcess.start({ settings: settings._unsafeUnwrap(), log });
+}
+
+async function stopBench({ target, platform, entry, guard }: Bench): Promise<void> {
+  await Promise.all([entry.drain(), guard.drain()]);
+  platform.close();
+  target.closeAllConnections();
+  target.close();
+}
+
+function turn(): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, 5);
+  });
+}
+
+interface Sent {
+  method?: 'GET' | 'PUT' | 'POST';
+  path?: string;
+  headers?: Record<string, string>;
+  body?: Buffer | AsyncIterable<Buffer>;
+}
+
+async function send({ entry }: Bench, sent: Sent): Promise<string> {
+  try {
+    const res = await request(`http://127.0.0.1:${entry.callerPort}${sent.path ?? '/boards/1'}`, {
+      method: sent.method ?? 'GET',
+      headers: { 'rhubarbkeel-workspace': 'plata', ...sent.headers },
+      body: sent.body as Buffer | undefined,
+    });
+    const body = Buffer.from(await res.body.arrayBuffer());
+    const outcome = String(res.headers['rhubarbkeel-outcome']);
+    if (outcome === 'unknown') return `${res.statusCode} unknown`;
+    const isProblem = res.headers['content-type'] === 'application/problem+json';
+    const problem = isProblem ? (JSON.parse(body.toString()) as { detail: string }).detail : '';
+    return `${res.statusCode} ${outcome} ${isProblem ? problem : `${body.length} bytes`}`;
+  } catch {
+    return 'broken connection';
+  }
+}
+
+async function* chunks(count: number, size: number): AsyncGenerator<Buffer> {
+  for (let index = 0; index < count; index += 1)
+    yield await Promise.resolve(Buffer.alloc(size, 'y'));
+}
+
+void t.test('caller server answers bad input without harm', async (t) => {
+  const bench = await startBench();
+  const cases: Record<string, Sent> = {
+    'a good call': {},
+    'oversized headers': { headers: { 'x-large': 'z'.repeat(20_000) } },
+    'an announced body past the limit': { method: 'PUT', body: Buffer.alloc(BODY_LIMIT_BYTES + 1) },
+    'a streamed body past the limit': {
+      method: 'PUT',
+      path: '/boards/collect',
+      body: chunks(40, 65_536),
+    },
+    'a streamed body past the limit whose answer has begun': {
+      method: 'PUT',
+      body: chunks(40, 65_536),
+    },
+    'a streamed body within the limit': { method: 'PUT', body: chunks(14, 65_536) },
+    'a streamed body without a key': { method: 'POST', path: '/results', body: chunks(2, 10) },
+    'an unknown route': { path: '/clocks' },
+    'an unknown workspace': { headers: { 'rhubarbkeel-workspace': 'plato' } },
+    'a malformed deadline': { headers: { 'rhubarbkeel-deadline-ms': 'soon' } },
+    'a passed deadline': { headers: { 'rhubarbkeel-deadline-ms': '-3' } },
+    'a chain too deep': { headers: { 'rhubarbkeel-depth': '32' } },
+    'a large answer': { path: '/boards/large' },
+    'a target that resets in the middle of its answer': { path: '/boards/reset' },
+    'a good call afterwards': {},
+  };
+  for (const [name, sent] of Object.entries(cases)) t.matchSnapshot(await send(bench, sent), name);
+  await stopBench(bench);
+});
+
+void t.test('peer link ends on a broken frame and harms nothing else', async (t) => {
+  const bench = await startBench();
+  const socket = new WebSocket(`ws://127.0.0.1:${bench.guard.peerPort}`);
+  await new Promise((resolve) => socket.once('open', resolve));
+  const closed = new Promise((resolve) => socket.once('close', resolve));
+  socket.on('error', () => undefined);
+  socket.send(Buffer.from([0xc1, 0xff, 0x00]));
+  await closed;
+  const rejected = bench.log.lines().filter((line) => line.startsWith('event=link-rejected'));
+  t.matchSnapshot([await send(bench, {}), ...rejected], 'after the broken frame');
+  await stopBench(bench);
+});
+
+void t.test('caller that leaves cancels its call at the target', async (t) => {
+  const bench = await startBench();
+  const socket = connect(bench.entry.callerPort, '127.0.0.1');
+  socket.write('GET /boards/hang HTTP/1.1\r\nhost: x\r\nrhubarbkeel-workspace: plata\r\n\r\n');
+  while (bench.guard.daemon.status.load.inFlight === 0) await turn();
+  socket.destroy();
+  while (bench.cancelled.length === 0) await turn();
+  t.matchSnapshot(bench.cancelled, 'cancelled at the target');
+  await stopBench(bench);
+});
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -39,7 +39,7 @@
 import type { Settings } from '../settings/mod.ts';
 import { VersionSpread } from '../spread/mod.ts';
 import { Guard, Quarantine, type TargetPort } from '../target/mod.ts';
-import { PauseWatch, sleep, type TimerService } from '../timer/mod.ts';
+import { PauseWatch, sleep, type Subscription, type TimerService } from '../timer/mod.ts';
 import { handOverKeys, type HandoverResult } from './hand_over_keys.ts';
 import type { DaemonStatus } from './daemon_status.ts';
 
@@ -82,6 +82,7 @@
   readonly #board: TargetBoard;
   readonly #quarantine: Quarantine;
   readonly #pauseWatch: PauseWatch;
+  readonly #pruning: Subscription;
   readonly #handoverAcks = new Map<string, (accepted: boolean) => void>();
   readonly #stopped = new AbortController();
   #configuration: Configuration | undefined;
@@ -146,7 +147,7 @@
     this.#pauseWatch.onPause((gapMs) => {
       void this.#resume(gapMs);
     });
-    timer.every(PRUNE_PERIOD_MS, () => {
+    this.#pruning = timer.every(PRUNE_PERIOD_MS, () => {
       this.#board.prune((id) => this.#fleet.find(id) !== undefined);
     });
   }
@@ -479,6 +480,8 @@
     this.spread.close();
     this.owner.close();
     this.#pauseWatch.close();
+    this.#pruning.cancel();
+    this.guard.close();
     this.links.closeAll();
     this.#log.write(Event.DaemonStopped, { instance: this.#settings.instance.id });
   }
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -5,7 +5,7 @@
 import { Metric, NoMetrics, StatsdMetrics, type Metrics } from '../metrics/mod.ts';
 import { HttpPlatform } from '../platform/mod.ts';
 import type { Settings } from '../settings/mod.ts';
-import { RealTimer } from '../timer/mod.ts';
+import { RealTimer, type Subscription } from '../timer/mod.ts';
 import { Daemon } from './daemon.ts';
 
 const GAUGE_PERIOD_MS = 1_000;
@@ -23,17 +23,24 @@
   readonly #target: TargetClient;
   readonly #platform: HttpPlatform;
   readonly #metrics: Metrics;
+  readonly #gauges: Subscription;
 
   private constructor(
     daemon: Daemon,
     servers: { callers: CallerServer; peers: PeerServer; operators: OperatorServer },
-    parts: { target: TargetClient; platform: HttpPlatform; metrics: Metrics },
+    parts: {
+      target: TargetClient;
+      platform: HttpPlatform;
+      metrics: Metrics;
+      gauges: Subscription;
+    },
   ) {
     this.daemon = daemon;
     this.#servers = servers;
     this.#target = parts.target;
     this.#platform = parts.platform;
     this.#metrics = parts.metrics;
+    this.#gauges = parts.gauges;
   }
 
   /**
@@ -54,11 +61,11 @@
       PeerServer.listen({ ...settings.peers, serve: (channel) => daemon.accept(channel) }),
       OperatorServer.listen({ ...settings.operators, view: operatorView(daemon) }),
     ]);
-    timer.every(GAUGE_PERIOD_MS, () => {
+    const gauges = timer.every(GAUGE_PERIOD_MS, () => {
       sendGauges(daemon, metrics);
     });
     void daemon.start();
-    const parts = { target, platform, metrics };
+    const parts = { target, platform, metrics, gauges };
     return new DaemonProcess(daemon, { callers, peers, operators }, parts);
   }
 
@@ -83,6 +90,7 @@
     await this.#servers.callers.close();
     this.#servers.peers.close();
     this.#servers.operators.close();
+    this.#gauges.cancel();
     this.#metrics.close();
     await this.#target.close();
     await this.#platform.close();
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -94,15 +94,17 @@
     budget.recordCall();
     const excluded = new Set<string>();
     let mayHaveRun = false;
+    let last: Refusal | undefined;
     for (;;) {
       const decided = this.#decide(call, fingerprint, excluded);
-      if (decided.isErr()) return err(conclude(decided.error, mayHaveRun));
+      if (decided.isErr()) return err(conclude(moreTelling(last, decided.error), mayHaveRun));
       const decision = decided.value;
       excluded.add(decision.instance.id);
       const result = await this.#try(call, decision, fingerprint);
       if (result.isOk()) return ok(result.value);
       const { kind, refusal } = result.error;
       mayHaveRun ||= !isNotRun(kind);
+      last = refusal;
       if (!isRepeatable(call, result.error)) return err(conclude(refusal, mayHaveRun));
       if (!budget.tryTake()) return err(conclude(refusal, mayHaveRun));
     }
@@ -232,11 +234,17 @@
 function isRepeatable(call: Call, failure: AttemptFailure): boolean {
   if (call.signal.aborted || call.deadline.hasPassed) return false;
   if (failure.refusal.reason === RefusalReason.Quarantined) return false;
+  if (failure.refusal.reason === RefusalReason.BodyCut) return false;
   if (call.body instanceof ReplayableBody && call.body.isSpent) return false;
   if (isNotRun(failure.kind)) return true;
   return call.route.repeatability === Repeatability.Idempotent;
 }
 
+/** That no target is left tells less than why the last one failed. */
+function moreTelling(last: Refusal | undefined, refusal: Refusal): Refusal {
+  return refusal.reason === RefusalReason.NoTarget ? (last ?? refusal) : refusal;
+}
+
 /** An earlier attempt that may have run makes the whole call's outcome unknown. */
 function conclude(refusal: Refusal, mayHaveRun: boolean): Refusal {
   return mayHaveRun ? unknown(refusal.reason, refusal.detail) : refusal;
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -183,10 +183,19 @@
   }
 
   async #executeStreamed(call: Call): Promise<Result<Answer, Refusal>> {
-    const body = new ReplayableBody(limitBody(call.body, call.route.bodyLimitBytes));
+    const { route } = call;
+    const limit = { isExceeded: false };
+    const onExceeded = () => {
+      limit.isExceeded = true;
+    };
+    const limited = limitBody(call.body, route.bodyLimitBytes, { onExceeded });
+    const body = new ReplayableBody(limited);
     const result = await this.#untilDeadline({ ...call, body }, undefined);
-    if (result.isErr()) await body.abandon();
-    return result;
+    if (result.isOk()) return result;
+    await body.abandon();
+    const tooLarge = bodyRefusal(CollectFailure.TooLarge, route);
+    // The target got the start of the body.
+    return err(limit.isExceeded ? unknown(tooLarge.reason, tooLarge.detail) : result.error);
   }
 
   async #executeKeyed(call: Call): Promise<Result<Answer, Refusal>> {
--- a/finding/check_document.ts
+++ b/finding/check_document.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { JSONPath } from 'jsonc-parser';
 import type { z } from 'zod';
-import type { Finding } from './finding.ts';
+import { compareFindings, type Finding } from './finding.ts';
 import { SourceDocument, formatPath } from './source_document.ts';
 import { suggestName } from './suggest_name.ts';
 
@@ -25,7 +25,8 @@
   if (source.syntaxFindings.length > 0) return err([...source.syntaxFindings]);
   const parsed = schema.safeParse(source.value, { reportInput: true });
   if (parsed.success) return ok({ value: parsed.data, source });
-  return err(parsed.error.issues.flatMap((issue) => issueFindings(source, schema, issue)));
+  const findings = parsed.error.issues.flatMap((issue) => issueFindings(source, schema, issue));
+  return err(findings.sort(compareFindings));
 }
 
 function issueFindings(
--- a/finding/finding.ts
+++ b/finding/finding.ts
@@ -24,3 +24,14 @@
   const subject = finding.path === '' ? '' : `${finding.path}: `;
   return `${file}:${line}:${column}: ${subject}${finding.problem}`;
 }
+
+/**
+ * Orders findings by their places.
+ *
+ * @param left A finding.
+ * @param right Another one of the same document.
+ * @returns Below zero if the first stands before the second.
+ */
+export function compareFindings(left: Finding, right: Finding): number {
+  return left.place.line - right.place.line || left.place.column - right.place.column;
+}
--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -47,7 +47,11 @@
     app.all('*', async (ctx) => {
       const { incoming, outgoing } = ctx.env;
       const req = toCallerRequest(incoming, outgoing);
-      return toResponse(await options.serve(req));
+      const cut = () => {
+        // A reset, so that no client can take the part that was sent for the whole.
+        outgoing.socket?.resetAndDestroy();
+      };
+      return toResponse(await options.serve(req), cut);
     });
     return new Promise((resolve, reject) => {
       const { port, host } = options;
@@ -128,7 +132,7 @@
   }
 }
 
-function toResponse({ callId, result, nextKey }: CallerReply): Response {
+function toResponse({ callId, result, nextKey }: CallerReply, cut: () => void): Response {
   const own: Record<string, string> = { [HeaderName.CallId]: callId };
   if (nextKey !== undefined) own[HeaderName.IdempotencyKey] = nextKey;
   if (result.isErr()) {
@@ -137,7 +141,7 @@
   }
   const { status, headers, body } = result.value;
   own[HeaderName.Outcome] = Outcome.Answered;
-  const content = BODILESS_STATUS.has(status) ? null : toResponseBody(body);
+  const content = BODILESS_STATUS.has(status) ? null : toResponseBody(body, cut);
   return new Response(content, { status, headers: mergeHeaders(headers, own) });
 }
 
@@ -153,15 +157,20 @@
   return [...kept, ...Object.entries(own)].map(([name, value]) => [name, value]);
 }
 
-function toResponseBody(body: Body): Uint8Array<ArrayBuffer> | ReadableStream<Uint8Array> {
+function toResponseBody(
+  body: Body,
+  cut: () => void,
+): Uint8Array<ArrayBuffer> | ReadableStream<Uint8Array> {
   if (body instanceof WholeBody) return body.bytes as Uint8Array<ArrayBuffer>;
   const chunks = body[Symbol.asyncIterator]();
   return new ReadableStream<Uint8Array>({
     pull: async (controller) => {
       const item = await chunks.next();
       if (item.done) controller.close();
-      else if (item.value.isErr()) controller.error(new Error(item.value.error.detail));
-      else controller.enqueue(item.value.value);
+      else if (item.value.isErr()) {
+        cut();
+        controller.close();
+      } else controller.enqueue(item.value.value);
     },
     cancel: async () => {
       await chunks.return?.();
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -94,10 +94,13 @@
   return body.bytes.length > 0 ? body.bytes : null;
 }
 
+/** Raised inside the client library when a request's body is cut off. */
+class RequestCutError extends Error {}
+
 /** The client library is told of a cut by an exception, so that the target sees a broken call. */
 async function* throwOnCut(body: Body): AsyncGenerator<Uint8Array> {
   for await (const chunk of body) {
-    if (chunk.isErr()) throw new Error(chunk.error.detail);
+    if (chunk.isErr()) throw new RequestCutError(chunk.error.detail);
     yield chunk.value;
   }
 }
@@ -133,6 +136,7 @@
 function toFailure(error: unknown, signal: AbortSignal): TargetFailure {
   const { code, message } = error as { code?: string; message?: string };
   const detail = `${code ?? 'error'}: ${message ?? 'no message'}`;
+  if (error instanceof RequestCutError) return { kind: TargetFailureKind.RequestCut, detail };
   if (code !== undefined && NOT_SENT_CODES.has(code))
     return { kind: TargetFailureKind.NotSent, detail };
   const kind = signal.aborted ? TargetFailureKind.Cancelled : TargetFailureKind.Broken;
--- a/target/guard.ts
+++ b/target/guard.ts
@@ -78,6 +78,7 @@
   readonly #health: TargetHealth;
   readonly #warmUp: WarmUp;
   #limit: ConcurrencyLimit;
+  readonly #probing: Subscription;
   #slots: number;
   #overload = 0;
 
@@ -92,7 +93,7 @@
     this.#health = new TargetHealth(options.log, this.#warmUp);
     this.#gate = new Gate(options.timer, () => this.#bounds());
     this.#ledger = new AttemptLedger(options.timer);
-    options.timer.every(PROBE_PERIOD_MS, () => {
+    this.#probing = options.timer.every(PROBE_PERIOD_MS, () => {
       void this.#probeIfDown();
     });
   }
@@ -148,6 +149,11 @@
     this.#gate.admitWaiting();
   }
 
+  /** Stops probing. */
+  close(): void {
+    this.#probing.cancel();
+  }
+
   /** Treats the target as just started, as after its failure domain was put back into service. */
   restartCold(): void {
     this.#warmUp.restart();
@@ -279,6 +285,8 @@
         this.#suspect(attempt);
         this.#health.recordBroken();
         break;
+      case TargetFailureKind.RequestCut:
+        break;
       case TargetFailureKind.Cancelled:
         this.#warmUp.record(false);
         break;
@@ -294,7 +302,9 @@
     if (failure.kind === TargetFailureKind.NotSent) {
       return this.#fail(FailureKind.Refused, notRun(RefusalReason.TargetDown, failure.detail));
     }
-    return this.#fail(FailureKind.Unknown, unknown(RefusalReason.AnswerLost, failure.detail));
+    const isCut = failure.kind === TargetFailureKind.RequestCut;
+    const reason = isCut ? RefusalReason.BodyCut : RefusalReason.AnswerLost;
+    return this.#fail(FailureKind.Unknown, unknown(reason, failure.detail));
   }
 
   #releaseAfter(answer: TargetAnswer): Answer {
--- a/target/target_port.ts
+++ b/target/target_port.ts
@@ -28,6 +28,8 @@
   NotSent = 'not-sent',
   /** The connection broke before the answer. */
   Broken = 'broken',
+  /** The request's body was cut off on its way here; the target itself is well. */
+  RequestCut = 'request-cut',
   /** The execution was cancelled. */
   Cancelled = 'cancelled',
 }
