List instances by name, so that one change is a small patch

Cause: a list of instances as an array makes each removal shift all later elements, and the patch to the version before grows with the fleet.

--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -13,6 +13,8 @@
 
 /** One instance of a deployment. */
 export interface Placing {
+  /** Name of the instance; made of pool and failure domain by default. */
+  id?: string;
   pool: string;
   failureDomain: string;
 }
@@ -107,13 +109,14 @@
   [callerPort = 0, peerPort = 0, operatorPort = 0]: number[],
   options: DeploymentOptions & { platformPort: number; index: number },
 ): Promise<Member> {
-  const id = `${placing.pool}-${placing.failureDomain}`;
+  const { pool, failureDomain } = placing;
+  const id = placing.id ?? `${pool}-${failureDomain}`;
   const { behaviour, onRun } = options;
   const target = new TargetStandIn({ name: id, behaviour, onRun });
   await target.listen();
   const host = '127.0.0.1';
   const settings = {
-    instance: { id, ...placing },
+    instance: { id, pool, failureDomain },
     callers: { host, port: callerPort },
     peers: { host, port: peerPort },
     operators: { host, port: operatorPort },
@@ -124,7 +127,8 @@
   };
   const instance: Instance = {
     id,
-    ...placing,
+    pool,
+    failureDomain,
     peerAddress: `${host}:${peerPort}`,
     callerAddress: `${host}:${callerPort}`,
     stage: LifeStage.Live,
--- a/fakes/fake_platform.ts
+++ b/fakes/fake_platform.ts
@@ -2,6 +2,7 @@
 import type { Instance } from '../instance/mod.ts';
 import {
   DocumentKind,
+  toFleetDocument,
   type ConfigurationDocument,
   type PlatformError,
   type PlatformReader,
@@ -58,7 +59,7 @@
   /** @param instances The instances to list from now on. */
   list(instances: readonly Instance[]): void {
     const version = this.#documents[DocumentKind.Fleet].version + 1;
-    const text = JSON.stringify({ version, instances });
+    const text = JSON.stringify(toFleetDocument(version, instances));
     this.#documents[DocumentKind.Fleet] = { version, text };
     this.#wake();
   }
--- a/stand_in/platform_stand_in.ts
+++ b/stand_in/platform_stand_in.ts
@@ -5,7 +5,7 @@
 import { Hono, type Context } from 'hono';
 import { SourceDocument, formatFinding } from '../finding/mod.ts';
 import type { Instance } from '../instance/mod.ts';
-import { Configuration, DocumentKind, VERSION_HEADER } from '../platform/mod.ts';
+import { Configuration, DocumentKind, VERSION_HEADER, toFleetDocument } from '../platform/mod.ts';
 import { RealTimer } from '../timer/mod.ts';
 
 /** How the platform's service behaves. */
@@ -57,7 +57,7 @@
     const { version } = JSON.parse(options.configuration) as { version: number };
     this.#documents = {
       [DocumentKind.Configuration]: { version, text: options.configuration },
-      [DocumentKind.Fleet]: { version: 0, text: '{"version":0,"instances":[]}' },
+      [DocumentKind.Fleet]: { version: 0, text: '{"version":0,"instances":{}}' },
     };
   }
 
@@ -109,7 +109,7 @@
   setInstances(instances: readonly Instance[]): void {
     this.#timer.after(this.#lagMs, () => {
       const version = this.#documents[DocumentKind.Fleet].version + 1;
-      const text = JSON.stringify({ version, instances });
+      const text = JSON.stringify(toFleetDocument(version, instances));
       this.#documents[DocumentKind.Fleet] = { version, text };
       this.#wakeAll();
     });
