Check the core protocol by model checking, and measure control slopes

Change: npm run spec writes the protocol for calls that run at most once and that for versions as transition systems and checks them with z3: unrolled step by step, and by induction with stated lemmas; for each rule a mutant without it must have a counterexample. npm run scale measures control traffic of 6, 60 and 200 daemons in virtual time, the cost of applying documents, links and daemon processes. Listening errors are results, and the demonstration no longer picks ports that a target then takes (one of 49 daemons died of it).

The version protocol needs a version to have reached a peer before its only holder restarts; without that a counterexample exists, so it is stated as a precondition.

Conclusion: the protocol is proved for one key, two executors and two daemons; that the code follows it is the matrix's part.

--- a/daemon/bad_input_test.ts
+++ b/daemon/bad_input_test.ts
@@ -70,7 +70,7 @@
   return { target, platform, entry, guard, log, cancelled };
 }
 
-function startDaemon(
+async function startDaemon(
   pool: string,
   { target, platform, log }: Pick<Bench, 'target' | 'platform' | 'log'>,
 ): Promise<DaemonProcess> {
@@ -85,7 +85,8 @@
       platform: { url: `http://127.0.0.1:${platform.port}` },
     }),
   );
-  return DaemonProcess.start({ settings: settings._unsafeUnwrap(), log });
+  const started = await DaemonProcess.start({ settings: settings._unsafeUnwrap(), log });
+  return started._unsafeUnwrap();
 }
 
 async function stopBench({ target, platform, entry, guard }: Bench): Promise<void> {
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -1,7 +1,15 @@
+import { Result, err, ok } from 'neverthrow';
 import type { Route } from '../contract/mod.ts';
 import type { EventLog } from '../event_log/mod.ts';
 import { LifeStage } from '../instance/mod.ts';
-import { CallerServer, OperatorServer, PeerServer, TargetClient, WsDialer } from '../link/mod.ts';
+import {
+  CallerServer,
+  OperatorServer,
+  PeerServer,
+  TargetClient,
+  WsDialer,
+  type ListenError,
+} from '../link/mod.ts';
 import { Metric, NoMetrics, StatsdMetrics, type Metrics } from '../metrics/mod.ts';
 import { HttpPlatform } from '../platform/mod.ts';
 import type { Settings } from '../settings/mod.ts';
@@ -47,26 +55,32 @@
    * Opens the servers and starts the daemon.
    *
    * @param options See {@linkcode DaemonProcessOptions}.
-   * @returns The process, listening; calls are refused until the daemon serves.
+   * @returns The process, listening, or why it cannot; calls are refused until the daemon serves.
    */
-  static async start({ settings, log }: DaemonProcessOptions): Promise<DaemonProcess> {
+  static async start({
+    settings,
+    log,
+  }: DaemonProcessOptions): Promise<Result<DaemonProcess, ListenError[]>> {
     const timer = new RealTimer();
     const target = new TargetClient(settings.target.url, settings.target);
     const platform = new HttpPlatform(settings.platform.url);
     const metrics = makeMetrics(settings);
     const dialer = new WsDialer();
     const daemon = new Daemon({ settings, timer, log, dialer, platform, target });
-    const [callers, peers, operators] = await Promise.all([
+    const listening = await Promise.all([
       CallerServer.listen({ ...settings.callers, serve: (req) => daemon.serve(req) }),
       PeerServer.listen({ ...settings.peers, serve: (channel) => daemon.accept(channel) }),
       OperatorServer.listen({ ...settings.operators, view: operatorView(daemon) }),
     ]);
+    const servers = Result.combineWithAllErrors(listening);
+    if (servers.isErr()) return err(servers.error);
+    const [callers, peers, operators] = servers.value;
     const gauges = timer.every(GAUGE_PERIOD_MS, () => {
       sendGauges(daemon, metrics);
     });
     void daemon.start();
     const parts = { target, platform, metrics, gauges };
-    return new DaemonProcess(daemon, { callers, peers, operators }, parts);
+    return ok(new DaemonProcess(daemon, { callers, peers, operators }, parts));
   }
 
   /** @returns The port for callers. */
--- a/daemon/main.ts
+++ b/daemon/main.ts
@@ -31,7 +31,11 @@
   }
   const log = new ConsoleLog();
   const started = await DaemonProcess.start({ settings: settings.value, log });
-  stopOnSignal(started, log);
+  if (started.isErr()) {
+    process.stderr.write(`${started.error.map(({ detail }) => detail).join('\n')}\n`);
+    process.exit(EXIT_FAILED);
+  }
+  stopOnSignal(started.value, log);
 }
 
 function stopOnSignal(started: DaemonProcess, log: ConsoleLog): void {
--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -58,13 +58,12 @@
   static async start(options: DeploymentOptions): Promise<Deployment> {
     const { configuration } = options;
     const platform = await PlatformStandIn.listen({ configuration });
+    const targets = await Promise.all(options.placings.map((each) => startTarget(each, options)));
     const ports = await freePorts(options.placings.length * PORTS_PER_DAEMON);
-    const members = await Promise.all(
-      options.placings.map((placing, index) => {
-        const own = ports.slice(index * PORTS_PER_DAEMON, (index + 1) * PORTS_PER_DAEMON);
-        return startMember(placing, own, { ...options, platformPort: platform.port, index });
-      }),
-    );
+    const members = targets.map(({ placing, target }, index) => {
+      const own = ports.slice(index * PORTS_PER_DAEMON, (index + 1) * PORTS_PER_DAEMON);
+      return startMember(placing, own, { ...options, target, platformPort: platform.port, index });
+    });
     platform.setInstances(members.map(({ instance }) => instance));
     const deployment = new Deployment(platform, members);
     await deployment.#untilServing();
@@ -104,16 +103,27 @@
   return JSON.stringify(parse(readFileSync(file, 'utf8'), [], { allowTrailingComma: true }));
 }
 
-async function startMember(
+async function startTarget(
+  placing: Placing,
+  { behaviour, onRun }: DeploymentOptions,
+): Promise<{ placing: Placing; target: TargetStandIn }> {
+  const target = new TargetStandIn({ name: idOf(placing), behaviour, onRun });
+  await target.listen();
+  return { placing, target };
+}
+
+function idOf({ id, pool, failureDomain }: Placing): string {
+  return id ?? `${pool}-${failureDomain}`;
+}
+
+function startMember(
   placing: Placing,
   [callerPort = 0, peerPort = 0, operatorPort = 0]: number[],
-  options: DeploymentOptions & { platformPort: number; index: number },
-): Promise<Member> {
+  options: DeploymentOptions & { target: TargetStandIn; platformPort: number; index: number },
+): Member {
   const { pool, failureDomain } = placing;
-  const id = placing.id ?? `${pool}-${failureDomain}`;
-  const { behaviour, onRun } = options;
-  const target = new TargetStandIn({ name: id, behaviour, onRun });
-  await target.listen();
+  const { target } = options;
+  const id = idOf(placing);
   const host = '127.0.0.1';
   const settings = {
     instance: { id, pool, failureDomain },
--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { serve, type HttpBindings } from '@hono/node-server';
 import { Hono } from 'hono';
-import { err, ok } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
 import {
   EMPTY_BODY,
   Outcome,
@@ -14,6 +14,7 @@
 import type { CallerReply, CallerRequest } from '../entry/mod.ts';
 import { HeaderName, endToEnd, pairHeaders } from './headers.ts';
 import { toProblem } from './problem.ts';
+import type { ListenError } from './listen_error.ts';
 
 const MAX_HEADER_BYTES = 16_384;
 /** Statuses whose answers have no body. */
@@ -40,9 +41,9 @@
 
   /**
    * @param options See {@linkcode CallerServerOptions}.
-   * @returns The server, once it listens.
+   * @returns The server once it listens, or why it cannot.
    */
-  static listen(options: CallerServerOptions): Promise<CallerServer> {
+  static listen(options: CallerServerOptions): Promise<Result<CallerServer, ListenError>> {
     const app = new Hono<{ Bindings: HttpBindings }>();
     app.all('*', async (ctx) => {
       const { incoming, outgoing } = ctx.env;
@@ -53,13 +54,15 @@
       };
       return toResponse(await options.serve(req), cut);
     });
-    return new Promise((resolve, reject) => {
+    return new Promise((resolve) => {
       const { port, host } = options;
       const serverOptions = { maxHeaderSize: MAX_HEADER_BYTES };
       const server = serve({ fetch: app.fetch, port, hostname: host, serverOptions }, () => {
-        resolve(new CallerServer(server));
+        resolve(ok(new CallerServer(server)));
       }) as Server;
-      server.once('error', reject);
+      server.once('error', ({ message }) => {
+        resolve(err({ detail: message }));
+      });
     });
   }
 
--- /dev/null
+++ b/link/listen_error.ts
@@ -0,0 +1,4 @@
+/** Why a server cannot accept connections. */
+export interface ListenError {
+  detail: string;
+}
--- a/link/mod.ts
+++ b/link/mod.ts
@@ -25,6 +25,7 @@
 export * from './greet.ts';
 export * from './headers.ts';
 export * from './link_table.ts';
+export * from './listen_error.ts';
 export * from './operator_server.ts';
 export * from './peer_link.ts';
 export * from './peer_server.ts';
--- a/link/operator_server.ts
+++ b/link/operator_server.ts
@@ -1,7 +1,9 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { err, ok, type Result } from 'neverthrow';
 import { serve } from '@hono/node-server';
 import { Hono } from 'hono';
+import type { ListenError } from './listen_error.ts';
 
 /** What operators may ask a daemon. */
 export interface OperatorView {
@@ -36,9 +38,13 @@
 
   /**
    * @param options See {@linkcode OperatorServerOptions}.
-   * @returns The server, once it listens.
+   * @returns The server once it listens, or why it cannot.
    */
-  static listen({ host, port, view }: OperatorServerOptions): Promise<OperatorServer> {
+  static listen({
+    host,
+    port,
+    view,
+  }: OperatorServerOptions): Promise<Result<OperatorServer, ListenError>> {
     const app = new Hono();
     app.get('/health', (ctx) =>
       ctx.json({ serving: view.isServing() }, view.isServing() ? 200 : 503),
@@ -46,11 +52,13 @@
     app.get('/status', (ctx) => ctx.json(view.status()));
     app.get('/routes', (ctx) => ctx.json(view.routes()));
     app.get('/explain/:call', (ctx) => ctx.json(view.explain(ctx.req.param('call'))));
-    return new Promise((resolve, reject) => {
+    return new Promise((resolve) => {
       const server = serve({ fetch: app.fetch, port, hostname: host }, () => {
-        resolve(new OperatorServer(server));
+        resolve(ok(new OperatorServer(server)));
       }) as Server;
-      server.once('error', reject);
+      server.once('error', ({ message }) => {
+        resolve(err({ detail: message }));
+      });
     });
   }
 
--- a/link/peer_server.ts
+++ b/link/peer_server.ts
@@ -1,7 +1,9 @@
 import type { AddressInfo } from 'node:net';
+import { err, ok, type Result } from 'neverthrow';
 import { WebSocketServer } from 'ws';
 import type { FrameChannel } from './frame_channel.ts';
 import { MAX_MESSAGE_BYTES, WsChannel } from './ws_channel.ts';
+import type { ListenError } from './listen_error.ts';
 
 /** Options of {@linkcode PeerServer.listen}. */
 export interface PeerServerOptions {
@@ -22,9 +24,9 @@
 
   /**
    * @param options See {@linkcode PeerServerOptions}.
-   * @returns The server, once it listens.
+   * @returns The server once it listens, or why it cannot.
    */
-  static listen(options: PeerServerOptions): Promise<PeerServer> {
+  static listen(options: PeerServerOptions): Promise<Result<PeerServer, ListenError>> {
     const server = new WebSocketServer({
       host: options.host,
       port: options.port,
@@ -34,10 +36,12 @@
     server.on('connection', (socket) => {
       void options.serve(new WsChannel(socket));
     });
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
+    return new Promise((resolve) => {
+      server.once('error', ({ message }) => {
+        resolve(err({ detail: message }));
+      });
       server.once('listening', () => {
-        resolve(new PeerServer(server));
+        resolve(ok(new PeerServer(server)));
       });
     });
   }
--- /dev/null
+++ b/scale/bare_node.ts
@@ -0,0 +1,17 @@
+import { spawn } from 'node:child_process';
+import { readUsage } from '../bench/child_program.ts';
+import { sleep, type TimerService } from '../timer/mod.ts';
+
+const SETTLE_MS = 1_000;
+
+/**
+ * @param timer The source of time.
+ * @returns Resident memory of a Node.js process that does nothing, in bytes.
+ */
+export async function measureBareNode(timer: TimerService): Promise<number> {
+  const child = spawn(process.execPath, ['-e', 'setInterval(() => undefined, 1000)']);
+  await sleep(timer, SETTLE_MS);
+  const { residentBytes } = readUsage(child);
+  child.kill();
+  return residentBytes;
+}
--- /dev/null
+++ b/scale/process_cost.ts
@@ -0,0 +1,68 @@
+import { readUsage } from '../bench/child_program.ts';
+import { Deployment } from '../demo/deployment.ts';
+import { sleep, type TimerService } from '../timer/mod.ts';
+import { FLEET_DOMAINS, TARGETS_PER_SERVICE, fleetConfiguration } from './fleet_configuration.ts';
+
+const SETTLE_MS = 3_000;
+const IDLE_MS = 5_000;
+const VERSIONS = 5;
+const VERSION_PERIOD_MS = 1_000;
+
+/** Cost of real daemon processes in a fleet of one size. */
+export interface ProcessCost {
+  daemons: number;
+  /** Mean resident memory of a daemon, in bytes. */
+  residentBytes: number;
+  /** Mean processor time of an idle daemon in a second, in milliseconds. */
+  idleCpuMsPerSecond: number;
+  /** Mean processor time of a daemon for one version, in milliseconds. */
+  cpuMsPerVersion: number;
+}
+
+/**
+ * @param daemons Number of daemon processes.
+ * @param timer The source of time.
+ * @returns What each used on average.
+ */
+export async function measureProcessCost(
+  daemons: number,
+  timer: TimerService,
+): Promise<ProcessCost> {
+  const services = Math.max(1, Math.round(daemons / TARGETS_PER_SERVICE));
+  const deployment = await Deployment.start({
+    configuration: JSON.stringify(fleetConfiguration(services, { version: 1 })),
+    placings: Array.from({ length: daemons }, (_, index) => ({
+      id: `instance-${index}`,
+      pool: `service-${index % services}`,
+      failureDomain: FLEET_DOMAINS[index % FLEET_DOMAINS.length] ?? '',
+    })),
+  });
+  await sleep(timer, SETTLE_MS);
+  const start = sumUsage(deployment);
+  await sleep(timer, IDLE_MS);
+  const idle = sumUsage(deployment);
+  for (let change = 1; change <= VERSIONS; change += 1) {
+    const patch = [{ op: 'replace' as const, path: '/routes/0/timeoutMs', value: 1_000 + change }];
+    deployment.platform.publish(change, patch);
+    await sleep(timer, VERSION_PERIOD_MS);
+  }
+  const end = sumUsage(deployment);
+  await deployment.stop();
+  const idleCpuMsPerSecond = ((idle.cpuMs - start.cpuMs) * 1_000) / IDLE_MS / daemons;
+  const idleShareMs = idleCpuMsPerSecond * ((VERSIONS * VERSION_PERIOD_MS) / 1_000);
+  const versionsMs = (end.cpuMs - idle.cpuMs) / daemons - idleShareMs;
+  return {
+    daemons,
+    residentBytes: end.residentBytes / daemons,
+    idleCpuMsPerSecond,
+    cpuMsPerVersion: Math.max(0, versionsMs) / VERSIONS,
+  };
+}
+
+function sumUsage(deployment: Deployment): { cpuMs: number; residentBytes: number } {
+  const usages = deployment.members.map(({ process: child }) => readUsage(child));
+  return {
+    cpuMs: usages.reduce((sum, { cpuMs }) => sum + cpuMs, 0),
+    residentBytes: usages.reduce((sum, { residentBytes }) => sum + residentBytes, 0),
+  };
+}
--- /dev/null
+++ b/spec/main.ts
@@ -0,0 +1,30 @@
+import { init } from 'z3-solver';
+import { formatTable } from '../cli/output.ts';
+import { atMostOnce } from './at_most_once.ts';
+import { checkSystem, type CheckReport } from './check.ts';
+import { versions } from './versions.ts';
+
+const { Context } = await init();
+const z3 = Context('spec');
+let isProved = true;
+for (const system of [atMostOnce, versions]) {
+  const report = await checkSystem(z3, system);
+  print(report);
+  const isSound = report.broken.length === 0 && report.isInductive;
+  const allFound = report.mutants.every(({ property }) => property !== undefined);
+  isProved &&= isSound && allFound;
+}
+process.stdout.write(isProved ? 'proved\n' : 'NOT proved\n');
+process.exit(isProved ? 0 : 1);
+
+function print({ system, boundReached, broken, isInductive, mutants }: CheckReport): void {
+  const state = broken.length === 0 ? 'hold' : `broken: ${broken.join(', ')}`;
+  process.stdout.write(`${system}: properties ${state} up to ${boundReached} steps`);
+  process.stdout.write(isInductive ? ', and by induction for any number\n' : ', NOT inductive\n');
+  const rows = mutants.map(({ rule, property, steps }) => [
+    rule,
+    property === undefined ? `NO counterexample within ${steps}` : `"${property}" breaks`,
+    property === undefined ? '' : `after ${steps} steps`,
+  ]);
+  process.stdout.write(`${formatTable([['rule removed', 'found', ''], ...rows])}\n\n`);
+}
--- a/spread/version_spread.ts
+++ b/spread/version_spread.ts
@@ -59,6 +59,7 @@
   readonly #stop = new AbortController();
   #lastFollowedMs: number;
   #platformReads = 0;
+  #ranked: { fleet: Fleet; watchers: Instance[] } | undefined;
 
   /** @param options See {@linkcode VersionSpreadOptions}. */
   constructor(options: VersionSpreadOptions) {
@@ -73,8 +74,7 @@
 
   /** @returns Whether this daemon watches the platform for others. */
   get isWatcher(): boolean {
-    const { fleet, failureDomain, instanceId } = this.#options;
-    return watchersOf(fleet(), failureDomain).some(({ id }) => id === instanceId);
+    return this.#watchers().some(({ id }) => id === this.#options.instanceId);
   }
 
   /** Starts one task for each document and one for the links to the watchers. */
@@ -188,11 +188,11 @@
   }
 
   async #follow(): Promise<void> {
-    const { fleet, failureDomain, instanceId, timer, link } = this.#options;
+    const { instanceId, timer, link } = this.#options;
     const { signal } = this.#stop;
     while (!signal.aborted) {
-      const watchers = watchersOf(fleet(), failureDomain).filter(({ id }) => id !== instanceId);
-      for (const watcher of watchers) {
+      const others = this.#watchers().filter(({ id }) => id !== instanceId);
+      for (const watcher of others) {
         const open = await link(watcher);
         if (!open) continue;
         this.#lastFollowedMs = timer.now();
@@ -205,6 +205,15 @@
     }
   }
 
+  /** The watchers of this daemon's failure domain, ranked anew for each version of the list. */
+  #watchers(): Instance[] {
+    const fleet = this.#options.fleet();
+    if (this.#ranked?.fleet !== fleet) {
+      this.#ranked = { fleet, watchers: watchersOf(fleet, this.#options.failureDomain) };
+    }
+    return this.#ranked.watchers;
+  }
+
   #offer(offered: OfferedDocument | DocumentFrame, from?: PeerLink): void {
     const { store, log } = this.#options;
     const { document, version } = offered;
