--- /dev/null
+++ b/compare/modelled_target.ts
@@ -0,0 +1,93 @@
+import { err, ok, type Result } from 'neverthrow';
+import { WholeBody } from '../contract/mod.ts';
+import {
+  TargetFailureKind,
+  type TargetAnswer,
+  type TargetFailure,
+  type TargetPort,
+  type TargetRequest,
+} from '../target/mod.ts';
+import { sleep, type TimerService } from '../timer/mod.ts';
+import { SLOTS } from './scenario.ts';
+
+/** Header that gives the time of a call at a target at full speed, in milliseconds. */
+export const SERVICE_HEADER = 'x-service-ms';
+const PROBE_MS = 6;
+
+/** Options of {@linkcode ModelledTarget}. */
+export interface ModelledTargetOptions {
+  name: string;
+  timer: TimerService;
+  /** @returns How many times longer a call takes that starts now. */
+  slowness: () => number;
+}
+
+/** A target with slots: further calls wait inside it; while cold, too many make it fail. */
+export class ModelledTarget implements TargetPort {
+  readonly #options: ModelledTargetOptions;
+  readonly #waiting: (() => void)[] = [];
+  #running = 0;
+  #starts = 1;
+  #coldUntilMs = 0;
+  failsFast = false;
+  probes = 0;
+  runs = 0;
+  /** Calls that it got while cold beyond what it bears. */
+  coldOverloads = 0;
+
+  /** @param options See {@linkcode ModelledTargetOptions}. */
+  constructor(options: ModelledTargetOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Restarts without warning: calls under way are lost, and it is cold for a while.
+   *
+   * @param coldMs Time that it is cold, in milliseconds.
+   */
+  restart(coldMs: number): void {
+    this.#starts += 1;
+    this.#coldUntilMs = this.#options.timer.now() + coldMs;
+  }
+
+  async run(req: TargetRequest): Promise<Result<TargetAnswer, TargetFailure>> {
+    this.runs += 1;
+    if (this.failsFast) return ok(this.#answer(500));
+    const start = this.#starts;
+    const isCold = this.#options.timer.now() < this.#coldUntilMs;
+    if (isCold && this.#running >= 1) this.coldOverloads += 1;
+    await this.#enter();
+    const named = Number(req.headers.find(([name]) => name === SERVICE_HEADER)?.[1]);
+    await sleep(this.#options.timer, named * this.#options.slowness(), { signal: req.signal });
+    this.#leave();
+    if (start !== this.#starts) return err({ kind: TargetFailureKind.Broken, detail: 'restarted' });
+    if (req.signal.aborted) return err({ kind: TargetFailureKind.Cancelled, detail: 'cancelled' });
+    return ok(this.#answer(200));
+  }
+
+  async probe(): Promise<boolean> {
+    this.probes += 1;
+    await sleep(this.#options.timer, PROBE_MS);
+    return true;
+  }
+
+  async #enter(): Promise<void> {
+    if (this.#running >= SLOTS) {
+      await new Promise<void>((resolve) => {
+        this.#waiting.push(resolve);
+      });
+    }
+    this.#running += 1;
+  }
+
+  #leave(): void {
+    this.#running -= 1;
+    this.#waiting.shift()?.();
+  }
+
+  #answer(status: number): TargetAnswer {
+    const incarnation = `${this.#options.name}/${this.#starts}`;
+    const body = new WholeBody(new Uint8Array());
+    return { status, headers: [], body, load: undefined, incarnation, shed: false };
+  }
+}
--- /dev/null
+++ b/compare/oracle.ts
@@ -0,0 +1,54 @@
+import TinyQueue from 'tinyqueue';
+import { SLOTS, Scenario, TARGETS, isDuringEvent, slownessAt, type Arrival } from './scenario.ts';
+
+interface Slot {
+  target: number;
+  freeAtMs: number;
+}
+
+/**
+ * Latencies under a policy that knows everything at once: one central queue,
+ * no delay, and each call starts where it ends first.
+ *
+ * @param scenario The scenario.
+ * @param arrivals The trace.
+ * @returns Latency of each call, in milliseconds.
+ */
+export function playOracle(scenario: Scenario, arrivals: readonly Arrival[]): number[] {
+  const slots = Array.from({ length: TARGETS * SLOTS }, (_, index) => ({
+    target: index % TARGETS,
+    freeAtMs: 0,
+  }));
+  const queue = new TinyQueue<Slot>(slots, (a, b) => a.freeAtMs - b.freeAtMs);
+  return arrivals.map(({ atMs, serviceMs }) => {
+    const passed: Slot[] = [];
+    let best: { slot: Slot; endMs: number } | undefined;
+    for (let slot = queue.pop(); slot; slot = queue.pop()) {
+      const startMs = Math.max(atMs, slot.freeAtMs);
+      if (best && startMs >= best.endMs) {
+        passed.push(slot);
+        break;
+      }
+      const endMs = startMs + serviceMs * slownessAt(scenario, slot.target, startMs);
+      if (isUsable(scenario, slot.target, startMs) && (!best || endMs < best.endMs)) {
+        if (best) passed.push(best.slot);
+        best = { slot, endMs };
+      } else {
+        passed.push(slot);
+      }
+    }
+    for (const each of passed) queue.push(each);
+    if (!best) return Infinity;
+    best.slot.freeAtMs = best.endMs;
+    queue.push(best.slot);
+    return best.endMs - atMs;
+  });
+}
+
+function isUsable(scenario: Scenario, target: number, atMs: number): boolean {
+  const isEvent = isDuringEvent(atMs);
+  if (scenario === Scenario.DomainOut || scenario === Scenario.FailFast) {
+    return !(isEvent && target === 0);
+  }
+  return true;
+}
--- a/fakes/world.ts
+++ b/fakes/world.ts
@@ -13,7 +13,7 @@
   type TargetFailure,
   type TargetPort,
 } from '../target/mod.ts';
-import { VirtualTimer } from '../timer/mod.ts';
+import { VirtualTimer, type TimerService } from '../timer/mod.ts';
 import { FakePlatform } from './fake_platform.ts';
 import { FakeTarget, RUN_ID_HEADER } from './fake_target.ts';
 import { MemoryNetwork } from './memory_network.ts';
@@ -52,6 +52,8 @@
   settings?: Partial<Pick<Settings, 'decisions' | 'keys' | 'quarantine' | 'drainTimeoutMs'>>;
   /** @returns Time of the next call at a target, in milliseconds. */
   serviceMs?: (target: string) => number;
+  /** Makes the target of an instance, in place of a {@linkcode FakeTarget}. */
+  targetPort?: (instanceId: string, timer: TimerService) => TargetPort;
   /** Log of each daemon; one in memory by default. */
   logLength?: number;
 }
@@ -252,6 +254,7 @@
     this.#incarnations += 1;
     const ended = new AbortController();
     const clock = new PausableTimer(this.timer);
+    const port = this.#options.targetPort?.(instance.id, this.timer) ?? target;
     const log = new MemoryLog(this.#options.logLength ?? 4_096);
     const daemon = new Daemon({
       settings: this.#settingsOf(instance),
@@ -259,7 +262,7 @@
       log: log satisfies EventLog,
       dialer: mortalDialer(this.network.dialerFrom(instance.peerAddress), ended.signal),
       platform: this.platform,
-      target: mortalTarget(target, ended.signal, clock),
+      target: mortalTarget(port, ended.signal, clock),
       incarnation: `run-${this.#incarnations}`,
     });
     this.network.listen(instance.peerAddress, (channel) => void daemon.accept(channel));
@@ -290,7 +293,7 @@
 }
 
 /** A process that has ended sends nothing to its target. */
-function mortalTarget(target: FakeTarget, ended: AbortSignal, clock: PausableTimer): TargetPort {
+function mortalTarget(target: TargetPort, ended: AbortSignal, clock: PausableTimer): TargetPort {
   const detail = 'the process has ended';
   const dead: Result<TargetAnswer, TargetFailure> = err({
     kind: TargetFailureKind.NotSent,
--- a/finding/source_document.ts
+++ b/finding/source_document.ts
@@ -7,9 +7,18 @@
   type Node,
   type ParseError,
 } from 'jsonc-parser';
+import { err, ok, type Result } from 'neverthrow';
 import type { Finding, Place } from './finding.ts';
 
-/** A JSON document with comments, with the place of each of its values. */
+interface Parsed {
+  root: Node | undefined;
+  errors: readonly ParseError[];
+}
+
+/**
+ * A JSON document with comments, with the place of each of its values. Plain
+ * JSON takes a faster way; its places are worked out when first asked for.
+ */
 export class SourceDocument {
   readonly file: string;
   /** Syntax errors, in order of place. */
@@ -17,18 +26,23 @@
   /** The document's value; `undefined` if it is empty. */
   readonly value: unknown;
   readonly #text: string;
-  readonly #root: Node | undefined;
+  #parsed: Parsed | undefined;
 
   /**
    * @param file Name used in findings.
    * @param text JSON, in which comments and trailing commas are allowed.
    */
   constructor(file: string, text: string) {
-    const errors: ParseError[] = [];
     this.file = file;
     this.#text = text;
-    this.#root = parseTree(text, errors, { allowTrailingComma: true });
-    this.value = this.#root ? (getNodeValue(this.#root) as unknown) : undefined;
+    const plain = parsePlain(text);
+    if (plain.isOk()) {
+      this.value = plain.value;
+      this.syntaxFindings = [];
+      return;
+    }
+    const { root, errors } = this.#parse();
+    this.value = root ? (getNodeValue(root) as unknown) : undefined;
     this.syntaxFindings = errors.map((error) => ({
       place: this.#placeAt(error.offset),
       path: '',
@@ -41,11 +55,20 @@
    * @returns The place of the value, or of the nearest parent that exists.
    */
   placeOf(path: JSONPath): Place {
+    const { root } = this.#parse();
     for (let length = path.length; length > 0; length -= 1) {
-      const node = this.#root && findNodeAtLocation(this.#root, path.slice(0, length));
+      const node = root && findNodeAtLocation(root, path.slice(0, length));
       if (node) return this.#placeAt(keyOffset(node));
     }
-    return this.#placeAt(this.#root?.offset ?? 0);
+    return this.#placeAt(root?.offset ?? 0);
+  }
+
+  #parse(): Parsed {
+    if (this.#parsed) return this.#parsed;
+    const errors: ParseError[] = [];
+    const root = parseTree(this.#text, errors, { allowTrailingComma: true });
+    this.#parsed = { root, errors };
+    return this.#parsed;
   }
 
   #placeAt(offset: number): Place {
@@ -56,6 +79,14 @@
   }
 }
 
+function parsePlain(text: string): Result<unknown, undefined> {
+  try {
+    return ok(JSON.parse(text) as unknown);
+  } catch {
+    return err(undefined);
+  }
+}
+
 function keyOffset(node: Node): number {
   return node.parent?.type === 'property' ? node.parent.offset : node.offset;
 }
--- a/scale/apply_cost.ts
+++ b/scale/apply_cost.ts
@@ -4,6 +4,8 @@
 import { FLEET_DOMAINS, fleetConfiguration } from './fleet_configuration.ts';
 
 const ROUNDS = 12;
+/** Stores whose memory is measured together. */
+const HEAP_STORES = 8;
 const MICROSECONDS_PER_MS = 1_000;
 
 /** Cost of taking one version into force, at one size. */
@@ -43,16 +45,20 @@
   const follower = newStore(kept);
   offer(source, kind, 1, texts[0]);
   offer(follower, kind, 1, texts[0]);
-  const heapBytes = (usedHeap() - heapBefore) / 2;
+  const others = Array.from({ length: HEAP_STORES - 2 }, () => newStore(kept));
+  for (const each of others) offer(each, kind, 1, texts[0]);
+  const heapBytes = (usedHeap() - heapBefore) / HEAP_STORES;
   const costs = texts.slice(1).map((text, index) => {
     const version = index + 2;
     offer(source, kind, version, text);
     const update = source.updateFor(kind, version - 1);
     const startCpu = process.cpuUsage();
     if (update) follower.offer(update);
+    kept.length = 0;
     const { user, system } = process.cpuUsage(startCpu);
     return (user + system) / MICROSECONDS_PER_MS;
   });
+  if (others.length === 0) throw new Error('expected other stores, got none');
   const settled = costs.slice(2).sort((a, b) => a - b);
   return { size, cpuMs: settled[Math.floor(settled.length / 2)] ?? 0, heapBytes };
 }
@@ -60,7 +66,6 @@
 function newStore(kept: unknown[]): DocumentStore {
   const keep = (each: unknown) => {
     kept.push(each);
-    if (kept.length > 4) kept.shift();
   };
   return new DocumentStore({ onConfiguration: keep, onFleet: keep });
 }
@@ -70,6 +75,7 @@
 }
 
 function usedHeap(): number {
+  globalThis.gc?.();
   globalThis.gc?.();
   return process.memoryUsage().heapUsed;
 }
--- a/spec/at_most_once.ts
+++ b/spec/at_most_once.ts
@@ -95,18 +95,19 @@
   state: State,
   { name, removed }: { name: AttemptName; removed: ReadonlySet<string> },
 ): Action[] {
-  const { And, Or, Not } = z3;
   const view = viewOf(state, name);
   const yes = z3.Bool.val(true);
   const value = (number: number) => z3.Int.val(number);
   const isAt = (stage: Ledger) => view.ledger.eq(value(stage));
-  const isLive = removed.has(KeyRule.DropOldFrames) ? yes : Not(view.restarted);
-  const isNew = removed.has(KeyRule.AcceptOnce) ? yes : And(isAt(Ledger.None), Not(view.forgotten));
+  const isLive = removed.has(KeyRule.DropOldFrames) ? yes : z3.Not(view.restarted);
+  const isNew = removed.has(KeyRule.AcceptOnce)
+    ? yes
+    : z3.And(isAt(Ledger.None), z3.Not(view.forgotten));
   const canStart = removed.has(KeyRule.CheckFenceAtStart)
-    ? Or(isAt(Ledger.Queued), isAt(Ledger.Fenced))
+    ? z3.Or(isAt(Ledger.Queued), isAt(Ledger.Fenced))
     : isAt(Ledger.Queued);
-  const notStarted = Or(
-    And(isAt(Ledger.None), Not(view.forgotten)),
+  const notStarted = z3.Or(
+    z3.And(isAt(Ledger.None), z3.Not(view.forgotten)),
     isAt(Ledger.Queued),
     isAt(Ledger.Fenced),
   );
@@ -114,11 +115,11 @@
     ? {}
     : { [`ledger${name}`]: value(Ledger.Fenced) };
   const forgetChange = removed.has(KeyRule.RememberForgotten) ? {} : { [`forgotten${name}`]: yes };
-  const settledHere = And(view.settle, Not(view.restarted));
+  const settledHere = z3.And(view.settle, z3.Not(view.restarted));
   return [
     {
       name: `deliver${name}`,
-      guard: And(view.call, isLive, isNew),
+      guard: z3.And(view.call, isLive, isNew),
       changes: { [`ledger${name}`]: value(Ledger.Queued) },
     },
     {
@@ -138,29 +139,29 @@
     },
     {
       name: `settleNotStarted${name}`,
-      guard: And(settledHere, notStarted),
+      guard: z3.And(settledHere, notStarted),
       changes: { ...fenceChange, [`fence${name}`]: yes },
     },
     {
       name: `settleEnded${name}`,
-      guard: And(settledHere, isAt(Ledger.Ended)),
+      guard: z3.And(settledHere, isAt(Ledger.Ended)),
       changes: { [`answer${name}`]: yes },
     },
     {
       name: `settleForgotten${name}`,
-      guard: And(settledHere, isAt(Ledger.None), view.forgotten),
+      guard: z3.And(settledHere, isAt(Ledger.None), view.forgotten),
       changes: { [`loss${name}`]: yes },
     },
     {
       name: `settleRestarted${name}`,
-      guard: And(view.settle, view.restarted),
+      guard: z3.And(view.settle, view.restarted),
       changes: removed.has(KeyRule.SameIncarnation)
         ? { [`fence${name}`]: yes }
         : { [`loss${name}`]: yes },
     },
     {
       name: `forget${name}`,
-      guard: Or(isAt(Ledger.Ended), isAt(Ledger.Fenced)),
+      guard: z3.Or(isAt(Ledger.Ended), isAt(Ledger.Fenced)),
       changes: { [`ledger${name}`]: value(Ledger.None), ...forgetChange },
     },
     {
@@ -176,15 +177,14 @@
 }
 
 function ownerActions(z3: Z3, state: State, removed: ReadonlySet<string>): Action[] {
-  const { And, Or, Not } = z3;
   const owner = state.owner as Arith<'spec'>;
   const yes = z3.Bool.val(true);
   const isAt = (stage: Owner) => owner.eq(z3.Int.val(stage));
   const to = (stage: Owner) => ({ owner: z3.Int.val(stage) });
   const second = { ...to(Owner.Waiting2), call2: yes };
   const [first, other] = [viewOf(state, '1'), viewOf(state, '2')];
-  const at1 = Or(isAt(Owner.Waiting1), isAt(Owner.Settling1));
-  const at2 = Or(isAt(Owner.Waiting2), isAt(Owner.Settling2));
+  const at1 = z3.Or(isAt(Owner.Waiting1), isAt(Owner.Settling1));
+  const at2 = z3.Or(isAt(Owner.Waiting2), isAt(Owner.Settling2));
   const actions: Action[] = [
     { name: 'start', guard: isAt(Owner.Idle), changes: { ...to(Owner.Waiting1), call1: yes } },
     {
@@ -197,26 +197,26 @@
       guard: isAt(Owner.Waiting2),
       changes: { ...to(Owner.Settling2), settle2: yes },
     },
-    { name: 'answered1', guard: And(at1, first.answer), changes: to(Owner.Answered) },
-    { name: 'answered2', guard: And(at2, other.answer), changes: to(Owner.Answered) },
-    { name: 'retry', guard: And(at1, first.fence), changes: second },
-    { name: 'notRun1', guard: And(at1, first.fence), changes: to(Owner.NotRun) },
-    { name: 'notRun2', guard: And(at2, other.fence), changes: to(Owner.NotRun) },
+    { name: 'answered1', guard: z3.And(at1, first.answer), changes: to(Owner.Answered) },
+    { name: 'answered2', guard: z3.And(at2, other.answer), changes: to(Owner.Answered) },
+    { name: 'retry', guard: z3.And(at1, first.fence), changes: second },
+    { name: 'notRun1', guard: z3.And(at1, first.fence), changes: to(Owner.NotRun) },
+    { name: 'notRun2', guard: z3.And(at2, other.fence), changes: to(Owner.NotRun) },
     {
       name: 'resendAfterNotRun',
-      guard: And(isAt(Owner.NotRun), Not(other.call)),
+      guard: z3.And(isAt(Owner.NotRun), z3.Not(other.call)),
       changes: second,
     },
-    { name: 'unknown1', guard: And(at1, first.loss), changes: to(Owner.Unknown) },
-    { name: 'unknown2', guard: And(at2, other.loss), changes: to(Owner.Unknown) },
+    { name: 'unknown1', guard: z3.And(at1, first.loss), changes: to(Owner.Unknown) },
+    { name: 'unknown2', guard: z3.And(at2, other.loss), changes: to(Owner.Unknown) },
     {
       name: 'giveUp',
-      guard: Or(isAt(Owner.Settling1), isAt(Owner.Settling2)),
+      guard: z3.Or(isAt(Owner.Settling1), isAt(Owner.Settling2)),
       changes: to(Owner.Unknown),
     },
     {
       name: 'restartOwner',
-      guard: Not(isAt(Owner.Idle)),
+      guard: z3.Not(isAt(Owner.Idle)),
       changes: removed.has(KeyRule.OwnerForgetsNothing) ? second : to(Owner.Unknown),
     },
   ];
@@ -234,26 +234,31 @@
 }
 
 function attemptLemmas(z3: Z3, state: State, name: AttemptName): Bool<'spec'>[] {
-  const { And, Or, Not, Implies } = z3;
   const view = viewOf(state, name);
   const isAt = (stage: Ledger) => view.ledger.eq(z3.Int.val(stage));
   const ran = view.runs.eq(1);
-  const isDead = Or(isAt(Ledger.Fenced), view.forgotten, view.restarted);
+  const isDead = z3.Or(isAt(Ledger.Fenced), view.forgotten, view.restarted);
   return [
-    And(view.runs.ge(0), view.runs.le(1)),
-    And(view.ledger.ge(Ledger.None), view.ledger.le(Ledger.Fenced)),
-    Implies(
-      Not(view.call),
-      And(isAt(Ledger.None), view.runs.eq(0), Not(view.answer), Not(view.fence)),
+    z3.And(view.runs.ge(0), view.runs.le(1)),
+    z3.And(view.ledger.ge(Ledger.None), view.ledger.le(Ledger.Fenced)),
+    z3.Implies(
+      z3.Not(view.call),
+      z3.And(isAt(Ledger.None), view.runs.eq(0), z3.Not(view.answer), z3.Not(view.fence)),
     ),
-    Implies(Not(view.call), And(Not(view.restarted), Not(view.forgotten), Not(view.settle))),
-    Implies(view.answer, ran),
-    Implies(view.fence, And(view.runs.eq(0), isDead)),
-    Implies(Or(isAt(Ledger.Running), isAt(Ledger.Ended)), ran),
-    Implies(Or(isAt(Ledger.Queued), isAt(Ledger.Fenced)), view.runs.eq(0)),
-    Implies(And(isAt(Ledger.None), Not(view.forgotten), Not(view.restarted)), view.runs.eq(0)),
-    Implies(view.restarted, And(isAt(Ledger.None), Not(view.forgotten))),
-    Implies(view.forgotten, isAt(Ledger.None)),
+    z3.Implies(
+      z3.Not(view.call),
+      z3.And(z3.Not(view.restarted), z3.Not(view.forgotten), z3.Not(view.settle)),
+    ),
+    z3.Implies(view.answer, ran),
+    z3.Implies(view.fence, z3.And(view.runs.eq(0), isDead)),
+    z3.Implies(z3.Or(isAt(Ledger.Running), isAt(Ledger.Ended)), ran),
+    z3.Implies(z3.Or(isAt(Ledger.Queued), isAt(Ledger.Fenced)), view.runs.eq(0)),
+    z3.Implies(
+      z3.And(isAt(Ledger.None), z3.Not(view.forgotten), z3.Not(view.restarted)),
+      view.runs.eq(0),
+    ),
+    z3.Implies(view.restarted, z3.And(isAt(Ledger.None), z3.Not(view.forgotten))),
+    z3.Implies(view.forgotten, isAt(Ledger.None)),
   ];
 }
 
--- a/spec/versions.ts
+++ b/spec/versions.ts
@@ -43,7 +43,6 @@
       ]),
     ),
   actions: (z3, state, removed) => {
-    const { And, Or, Not } = z3;
     const published = state.published as Arith<'spec'>;
     const shown = state.shown as Arith<'spec'>;
     const yes = z3.Bool.val(true);
@@ -65,7 +64,7 @@
           guard: yes,
           changes: {
             [`version${name}`]: read,
-            [`served${name}`]: z3.If(And(serving, read.gt(served)), read, served),
+            [`served${name}`]: z3.If(z3.And(serving, read.gt(served)), read, served),
           },
         },
         {
@@ -74,13 +73,13 @@
           changes: {
             [`version${name}`]: maximum(version, peer),
             [`asked${name}`]: yes,
-            [`served${name}`]: z3.If(And(serving, peer.gt(served)), peer, served),
+            [`served${name}`]: z3.If(z3.And(serving, peer.gt(served)), peer, served),
           },
         },
         {
           // A version that only this daemon has would be lost with it.
           name: `restart${name}`,
-          guard: And(peerServing, peer.ge(served)),
+          guard: z3.And(peerServing, peer.ge(served)),
           changes: {
             [`version${name}`]: z3.Int.val(0),
             [`serving${name}`]: z3.Bool.val(false),
@@ -89,7 +88,7 @@
         },
         {
           name: `serve${name}`,
-          guard: And(Not(serving), hasAsked, version.gt(0)),
+          guard: z3.And(z3.Not(serving), hasAsked, version.gt(0)),
           changes: {
             [`serving${name}`]: yes,
             [`served${name}`]: z3.If(version.gt(served), version, served),
@@ -101,21 +100,18 @@
       { name: 'publish', guard: yes, changes: { published: published.add(1) } },
       {
         name: 'refresh',
-        guard: Or(shown.lt(published)),
+        guard: z3.Or(shown.lt(published)),
         changes: { shown: published },
       },
       { name: 'goStale', guard: shown.gt(1), changes: { shown: z3.Int.val(1) } },
       ...daemonActions,
     ];
   },
-  properties: (z3, state) =>
-    Object.fromEntries(
-      DAEMONS.map((name) => {
-        const version = state[`version${name}`] as Arith<'spec'>;
-        const serving = state[`serving${name}`] as Bool<'spec'>;
-        return [`daemon ${name} serves with a version`, z3.Implies(serving, version.ge(1))];
-      }).concat([['what is in force never reverts', neverReverts(z3, state)]]),
-    ),
+  properties: (z3, state) => ({
+    'daemon 1 serves with a version': servesWithVersion(z3, state, '1'),
+    'daemon 2 serves with a version': servesWithVersion(z3, state, '2'),
+    'what is in force never reverts': neverReverts(z3, state),
+  }),
   lemmas: (z3, state) => {
     const number = (name: string) => state[name] as Arith<'spec'>;
     return [
@@ -126,6 +122,11 @@
   },
 };
 
+function servesWithVersion(z3: Z3, state: State, name: (typeof DAEMONS)[number]): Bool<'spec'> {
+  const version = state[`version${name}`] as Arith<'spec'>;
+  return z3.Implies(state[`serving${name}`] as Bool<'spec'>, version.ge(1));
+}
+
 /** While a daemon restarts, the other one serves at least what it has served. */
 function restartLemmas(z3: Z3, state: State, name: (typeof DAEMONS)[number]): Bool<'spec'>[] {
   const other = name === '1' ? '2' : '1';
--- /dev/null
+++ b/target/attempt_ledger_test.ts
@@ -0,0 +1,62 @@
+import { ok } from 'neverthrow';
+import t from 'tap';
+import { Deadline, WholeBody, type AttemptResult } from '../contract/mod.ts';
+import { VirtualTimer } from '../timer/mod.ts';
+import { AttemptLedger } from './mod.ts';
+
+const answer: AttemptResult = ok({
+  status: 200,
+  headers: [],
+  body: new WholeBody(Buffer.from('done')),
+  load: undefined,
+});
+
+function describe(result: AttemptResult): string {
+  return result.match(
+    ({ status }) => `answered ${status}`,
+    ({ kind, refusal }) => `${kind}: ${refusal.reason}`,
+  );
+}
+
+void t.test('ledger.settle() fences what has not started, and only that', async (t) => {
+  const timer = new VirtualTimer();
+  const ledger = new AttemptLedger(timer);
+  const deadline = new Deadline(timer, 100);
+  const id = (sequence: number) => ({ sender: 'a', sequence });
+  const seen: string[] = [];
+  seen.push(`never seen: ${describe(await ledger.settle(id(1), deadline))}`);
+  seen.push(`accepted afterwards: ${ledger.accept(id(1)).isOk()}`);
+  ledger.accept(id(2));
+  seen.push(`queued: ${describe(await ledger.settle(id(2), deadline))}`);
+  seen.push(`starts afterwards: ${ledger.start(id(2))}`);
+  ledger.accept(id(3));
+  ledger.start(id(3));
+  const running = ledger.settle(id(3), deadline);
+  ledger.end(id(3), answer);
+  seen.push(`running: ${describe(await running)}`);
+  seen.push(`accepted twice: ${ledger.accept(id(3)).isOk()}`);
+  ledger.accept(id(4));
+  ledger.start(id(4));
+  const late = ledger.settle(id(4), deadline);
+  await timer.advance(200);
+  seen.push(`runs beyond the wait: ${describe(await late)}`);
+  await timer.advance(120_000);
+  seen.push(`forgotten: ${describe(await ledger.settle(id(3), new Deadline(timer, 10)))}`);
+  seen.push(`accepted after it was forgotten: ${ledger.accept(id(1)).isOk()}`);
+  t.matchSnapshot(seen, 'settlements');
+});
+
+void t.test('ledger.settle() stays true when memory runs out', async (t) => {
+  const timer = new VirtualTimer();
+  const ledger = new AttemptLedger(timer, { keptBytes: 600 });
+  for (let sequence = 1; sequence <= 4; sequence += 1) {
+    ledger.accept({ sender: 'a', sequence });
+    ledger.start({ sender: 'a', sequence });
+    ledger.end({ sender: 'a', sequence }, answer);
+  }
+  const ends = [];
+  for (let sequence = 1; sequence <= 4; sequence += 1) {
+    ends.push(describe(await ledger.settle({ sender: 'a', sequence }, new Deadline(timer, 10))));
+  }
+  t.matchSnapshot(ends, 'four attempts, room for two');
+});
--- /dev/null
+++ b/target/limits_test.ts
@@ -0,0 +1,52 @@
+import t from 'tap';
+import { MemoryLog } from '../event_log/mod.ts';
+import { VirtualTimer } from '../timer/mod.ts';
+import { LimitKind, Quarantine, WarmUp, makeLimit } from './mod.ts';
+
+void t.test('limit.record() follows a target that slows down and recovers', (t) => {
+  for (const kind of Object.values(LimitKind)) {
+    const limit = makeLimit(kind, 12);
+    const seen: string[] = [];
+    for (const elapsedMs of [5, 5, 50, 50, 5, 5]) {
+      for (let answer = 0; answer < 20; answer += 1) {
+        limit.record({ elapsedMs, inFlight: limit.current, succeeded: true });
+      }
+      seen.push(`${elapsedMs} ms: ${limit.current}`);
+    }
+    t.matchSnapshot(seen, kind);
+  }
+  t.end();
+});
+
+void t.test('warmUp.record() raises the cold limit by answers in time only', (t) => {
+  const warmUp = new WarmUp(1);
+  const seen = [true, true, true, true, true, true, true, true, true, false, true].map((inTime) => {
+    warmUp.record(inTime);
+    return `${inTime ? 'in time' : 'late'}: ${warmUp.limit(6)}`;
+  });
+  warmUp.restart();
+  t.matchSnapshot([...seen, `restarted: ${warmUp.limit(6)}`], 'limits');
+  t.end();
+});
+
+void t.test('quarantine.recordCrash() clears the innocent', async (t) => {
+  const timer = new VirtualTimer();
+  const quarantine = new Quarantine(timer, new MemoryLog(8));
+  const seen: string[] = [];
+  const look = (name: string) => {
+    const blocked = ['poison', 'neighbour', 'popular'].filter((each) => quarantine.isBlocked(each));
+    seen.push(`${name}: ${blocked.join(',') || 'none'} blocked`);
+  };
+  quarantine.recordAnswer('popular');
+  for (const instance of ['a', 'a', 'b']) {
+    for (const each of ['poison', 'popular']) quarantine.recordCrash(each, instance);
+    if (instance === 'a') quarantine.recordCrash('neighbour', 'a');
+    look(`crash of ${instance}`);
+  }
+  quarantine.recordAnswer('neighbour');
+  quarantine.recordCrash('neighbour', 'b');
+  look('the neighbour was answered in between');
+  await timer.advance(61_000);
+  look('a minute later');
+  t.matchSnapshot(seen, 'blocked');
+});
