Finish waiting calls at a planned stop, tested on real processes

Cause: a process test of SIGTERM showed 3 of 4 calls refused "leaving": the guard refused what waited in its queue, and no other target was there.

Change: a daemon that leaves runs what it has accepted, waiting calls too; calls and latencies are counted by outcome in the metrics.

Conclusion: a planned stop cuts nothing that was accepted.

--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -93,9 +93,9 @@
       limitKind: decisions.limit,
       quarantine: this.#quarantine,
       pool: () => this.#view.configuration?.pool(instance.pool),
-      objection: (attempt) => {
+      objection: (attempt, phase) => {
         this.#pauseWatch.check();
-        return this.#view.objectionToAttempt(attempt);
+        return this.#view.objectionToAttempt(attempt, phase);
       },
     });
     this.links = this.#makeLinks(options);
@@ -379,7 +379,6 @@
     this.#view.stage = LifeStage.Leaving;
     this.#log.write(Event.DaemonDraining, { instance: this.#settings.instance.id });
     for (const link of this.links.links) link.sendFrame({ kind: FrameKind.Leaving });
-    this.guard.refuseWaiting(notRun(RefusalReason.Leaving, 'the daemon is leaving'));
     this.owner.freeze();
   }
 
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -1,5 +1,6 @@
 import { Result, err, ok } from 'neverthrow';
-import type { Route } from '../contract/mod.ts';
+import { Outcome, type Route } from '../contract/mod.ts';
+import type { CallerReply, CallerRequest } from '../entry/mod.ts';
 import type { EventLog } from '../event_log/mod.ts';
 import { LifeStage } from '../instance/mod.ts';
 import {
@@ -13,7 +14,7 @@
 import { Metric, NoMetrics, StatsdMetrics, type Metrics } from '../metrics/mod.ts';
 import { HttpPlatform } from '../platform/mod.ts';
 import type { Settings } from '../settings/mod.ts';
-import { RealTimer, type Subscription } from '../timer/mod.ts';
+import { RealTimer, type Subscription, type TimerService } from '../timer/mod.ts';
 import { Daemon } from './daemon.ts';
 
 const GAUGE_PERIOD_MS = 1_000;
@@ -68,7 +69,10 @@
     const dialer = new WsDialer();
     const daemon = new Daemon({ settings, timer, log, dialer, platform, target });
     const listening = await Promise.all([
-      CallerServer.listen({ ...settings.callers, serve: (req) => daemon.serve(req) }),
+      CallerServer.listen({
+        ...settings.callers,
+        serve: (req) => serveMeasured(daemon, req, { timer, metrics }),
+      }),
       PeerServer.listen({ ...settings.peers, serve: (channel) => daemon.accept(channel) }),
       OperatorServer.listen({ ...settings.operators, view: operatorView(daemon) }),
     ]);
@@ -115,6 +119,19 @@
   return metrics ? new StatsdMetrics({ ...metrics, instanceId: instance.id }) : new NoMetrics();
 }
 
+async function serveMeasured(
+  daemon: Daemon,
+  req: CallerRequest,
+  { timer, metrics }: { timer: TimerService; metrics: Metrics },
+): Promise<CallerReply> {
+  const startMs = timer.now();
+  const reply = await daemon.serve(req);
+  const outcome = reply.result.isOk() ? Outcome.Answered : reply.result.error.outcome;
+  metrics.increment(Metric.Calls, { outcome });
+  metrics.timing(Metric.CallMs, timer.now() - startMs, { outcome });
+  return reply;
+}
+
 function operatorView(daemon: Daemon) {
   return {
     isServing: () => daemon.stage === LifeStage.Live,
--- /dev/null
+++ b/daemon/process_test.ts
@@ -0,0 +1,76 @@
+import t from 'tap';
+import { request } from 'undici';
+import { Deployment, type Member } from '../demo/deployment.ts';
+import { exampleConfiguration } from '../fakes/mod.ts';
+import type { DaemonStatus } from './mod.ts';
+
+const SERVICE_MS = 300;
+const CALLS = 4;
+/** Two calls run at once and two wait. */
+const COLD_SLOTS = 2;
+const HANGING_MS = 4_000;
+
+function start(serviceMs: number): Promise<Deployment> {
+  const example = exampleConfiguration();
+  const pools = example.pools.map((pool) => ({ ...pool, coldSlots: COLD_SLOTS }));
+  return Deployment.start({
+    configuration: JSON.stringify({ ...example, pools }),
+    placings: [
+      { pool: 'results', failureDomain: 'centro-a' },
+      { pool: 'boards', failureDomain: 'centro-b' },
+    ],
+    behaviour: { serviceMs },
+  });
+}
+
+async function call(origin: string): Promise<string> {
+  try {
+    const res = await request(`${origin}/boards/1`, {
+      headers: { 'rhubarbkeel-workspace': 'plata' },
+    });
+    await res.body.dump();
+    return `${res.statusCode} ${String(res.headers['rhubarbkeel-outcome'])}`;
+  } catch {
+    return 'broken connection';
+  }
+}
+
+async function openCalls({ operatorAddress }: Member): Promise<number> {
+  const res = await request(`http://${operatorAddress}/status`);
+  return ((await res.body.json()) as DaemonStatus).openCalls;
+}
+
+function exitOf({ process: child }: Member): Promise<number | null> {
+  return new Promise((resolve) => child.once('exit', resolve));
+}
+
+void t.test('rhubarbkeeld ends on SIGTERM without cutting a call', async (t) => {
+  const deployment = await start(SERVICE_MS);
+  const [entry, guard] = deployment.members;
+  const [origin = ''] = deployment.origins;
+  if (!entry || !guard) throw new Error('expected two daemons');
+  const calls = Array.from({ length: CALLS }, () => call(origin));
+  while ((await openCalls(entry)) < CALLS) continue;
+  const exits = Promise.all([exitOf(entry), exitOf(guard)]);
+  entry.process.kill('SIGTERM');
+  guard.process.kill('SIGTERM');
+  t.matchSnapshot({ calls: await Promise.all(calls), exits: await exits }, 'calls and exit codes');
+  await deployment.stop();
+});
+
+void t.test('rhubarbkeeld ends at once on a second SIGTERM', async (t) => {
+  const deployment = await start(HANGING_MS);
+  const [entry] = deployment.members;
+  const [origin = ''] = deployment.origins;
+  if (!entry) throw new Error('expected a daemon');
+  const hanging = call(origin);
+  while ((await openCalls(entry)) < 1) continue;
+  const exit = exitOf(entry);
+  entry.process.kill('SIGTERM');
+  while ((await openCalls(entry).catch(() => 0)) === 1 && entry.process.exitCode === null) {
+    entry.process.kill('SIGTERM');
+  }
+  t.matchSnapshot({ exit: await exit, call: await hanging }, 'exit code and call');
+  for (const { process: child } of deployment.members) child.kill('SIGKILL');
+  await deployment.stop();
+});
--- a/daemon/world_view.ts
+++ b/daemon/world_view.ts
@@ -4,6 +4,7 @@
 import { Fleet, LifeStage } from '../instance/mod.ts';
 import { DocumentKind, DocumentStore, type Configuration } from '../platform/mod.ts';
 import type { Settings } from '../settings/mod.ts';
+import { AdmissionPhase } from '../target/mod.ts';
 
 const NO_ROUTES = new RouteTable([], []);
 const NO_GEOGRAPHY = new Geography([]);
@@ -101,12 +102,15 @@
   }
 
   /**
-   * @param attempt An attempt that has arrived.
+   * @param attempt An attempt.
+   * @param phase When it is looked at.
    * @returns Why this daemon's target may not execute it, if so.
    */
-  objectionToAttempt({ call }: Attempt): Refusal | undefined {
+  objectionToAttempt({ call }: Attempt, phase: AdmissionPhase): Refusal | undefined {
     const { pool } = this.#options.instance;
-    const objection = this.objectionToCall() ?? this.#objectionToPlace();
+    // A daemon that leaves finishes what it has accepted, waiting calls too.
+    const isHeld = this.isLeaving && phase === AdmissionPhase.Starting;
+    const objection = isHeld ? undefined : (this.objectionToCall() ?? this.#objectionToPlace());
     if (objection) return objection;
     // The route may have been bound to regions since the sender decided.
     const route = this.routes.byName(call.route.workspace, call.route.name);
--- a/fakes/example_configuration.ts
+++ b/fakes/example_configuration.ts
@@ -30,7 +30,12 @@
     version,
     failureDomains,
     workspaces: [{ name: 'plata' }, { name: 'norte-club', homeRegions: ['ar-norte'] }],
-    pools: ['boards', 'results'].map((name) => ({ name, slots: 6, queueLength: 8 })),
+    pools: ['boards', 'results'].map((name) => ({
+      name,
+      slots: 6,
+      queueLength: 8,
+      queueWaitMs: 1_000,
+    })),
     routes: [
       { ...board, name: 'read-board', path: '/boards' },
       { ...board, name: 'read-hall', path: '/halls', quarantine: true },
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -2,7 +2,6 @@
 export enum Metric {
   Calls = 'calls',
   CallMs = 'call_ms',
-  Attempts = 'attempts',
   InFlight = 'in_flight',
   Limit = 'limit',
   Queued = 'queued',
--- a/target/guard.ts
+++ b/target/guard.ts
@@ -47,6 +47,13 @@
 const SERVER_ERROR_STATUS = 500;
 const PROBE_PERIOD_MS = 1_000;
 
+/** When an attempt is looked at. */
+export enum AdmissionPhase {
+  Arriving = 'arriving',
+  /** It was accepted, has waited, and is about to run. */
+  Starting = 'starting',
+}
+
 /** What a {@linkcode Guard} needs. */
 export interface GuardOptions {
   /** Name of the instance whose target is guarded. */
@@ -59,10 +66,11 @@
   /** @returns The rules in force for the target's pool, if the configuration has them. */
   pool: () => Pool | undefined;
   /**
-   * @param attempt An attempt that has arrived.
+   * @param attempt An attempt.
+   * @param phase When it is looked at.
    * @returns Why this daemon may not execute it, if so.
    */
-  objection: (attempt: Attempt) => Refusal | undefined;
+  objection: (attempt: Attempt, phase: AdmissionPhase) => Refusal | undefined;
 }
 
 /**
@@ -123,7 +131,7 @@
   }
 
   async send(attempt: Attempt): Promise<AttemptResult> {
-    const objection = this.#objectionTo(attempt);
+    const objection = this.#objectionTo(attempt, AdmissionPhase.Arriving);
     if (objection) return this.#fail(FailureKind.Refused, objection);
     const isKept = attempt.call.route.repeatability === Repeatability.NonIdempotent;
     return isKept ? this.#runOnce(attempt) : this.#admit(attempt);
@@ -162,7 +170,7 @@
     this.#warmUp.restart();
   }
 
-  #objectionTo(attempt: Attempt): Refusal | undefined {
+  #objectionTo(attempt: Attempt, phase: AdmissionPhase): Refusal | undefined {
     const { call, fingerprint } = attempt;
     if (call.deadline.hasPassed) {
       return notRun(
@@ -174,7 +182,7 @@
       return notRun(RefusalReason.Quarantined, 'calls like this one coincided with target crashes');
     }
     if (this.#health.isDown) return notRun(RefusalReason.TargetDown, 'the target is not listening');
-    return this.#options.objection(attempt);
+    return this.#options.objection(attempt, phase);
   }
 
   async #runOnce(attempt: Attempt): Promise<AttemptResult> {
@@ -204,7 +212,7 @@
     const { route, deadline, signal } = attempt.call;
     const entered = await this.#gate.enter({ weight: route.weight, deadline, signal });
     if (entered.isErr()) return this.#fail(FailureKind.Refused, entered.error);
-    const objection = this.#objectionTo(attempt) ?? this.#fenceOf(id);
+    const objection = this.#objectionTo(attempt, AdmissionPhase.Starting) ?? this.#fenceOf(id);
     if (objection) {
       this.#gate.leave();
       return this.#fail(FailureKind.Refused, objection);
