--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -11,14 +11,7 @@
 import { Event, MemoryLog, TeeLog, type EventLog } from '../event_log/mod.ts';
 import { KeyOwner } from '../idempotency/mod.ts';
 import { LifeStage, newIncarnation, type Instance } from '../instance/mod.ts';
-import {
-  FrameKind,
-  LinkTable,
-  PeerLink,
-  type Dialer,
-  type Frame,
-  type FrameChannel,
-} from '../link/mod.ts';
+import { FrameKind, LinkTable, PeerLink, type Dialer, type FrameChannel } from '../link/mod.ts';
 import { Placement, TargetBoard, makePicker } from '../placement/mod.ts';
 import type { Configuration, PlatformReader } from '../platform/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
@@ -28,13 +21,10 @@
 import { PauseWatch, sleep, type Subscription, type TimerService } from '../timer/mod.ts';
 import { handOverKeys, type HandoverResult } from './hand_over_keys.ts';
 import type { DaemonStatus } from './daemon_status.ts';
+import { PeerControl } from './peer_control.ts';
+import { VersionLearning } from './version_learning.ts';
 import { WorldView } from './world_view.ts';
 
-/** Time that a starting daemon gives its peers to tell newer versions, in milliseconds. */
-const PEER_ANSWER_MS = 300;
-/** Peers that a starting or waking daemon asks. */
-const PEERS_ASKED = 3;
-const START_RETRY_MS = 200;
 const DRAIN_POLL_MS = 10;
 const PRUNE_PERIOD_MS = 30_000;
 
@@ -68,7 +58,8 @@
   readonly #quarantine: Quarantine;
   readonly #pauseWatch: PauseWatch;
   readonly #pruning: Subscription;
-  readonly #handoverAcks = new Map<string, (accepted: boolean) => void>();
+  readonly #control: PeerControl;
+  readonly #learning: VersionLearning;
   readonly #stopped = new AbortController();
 
   /** @param options See {@linkcode DaemonOptions}. */
@@ -98,6 +89,14 @@
         return this.#view.objectionToAttempt(attempt, phase);
       },
     });
+    this.#control = new PeerControl({
+      view: this.#view,
+      board: this.#board,
+      quarantine: this.#quarantine,
+      owner: () => this.owner,
+      spread: () => this.spread,
+      links: () => this.links.links,
+    });
     this.links = this.#makeLinks(options);
     this.owner = new KeyOwner({
       timer,
@@ -120,6 +119,14 @@
       fleet: () => this.#view.fleet,
       link: (watcher) => this.#linkTo(watcher),
     });
+    this.#learning = new VersionLearning({
+      timer,
+      instance,
+      view: this.#view,
+      spread: this.spread,
+      link: (peer) => this.#linkTo(peer),
+      signal: this.#stopped.signal,
+    });
     this.#pauseWatch = new PauseWatch(timer);
     this.#pauseWatch.onPause((gapMs) => {
       void this.#resume(gapMs);
@@ -167,7 +174,7 @@
   /** Learns the versions in force and begins to serve; returns once it serves or is stopped. */
   async start(): Promise<void> {
     const { id, failureDomain } = this.#settings.instance;
-    await this.#learnVersions();
+    await this.#learning.untilComplete();
     if (this.#stopped.signal.aborted) return;
     this.spread.start();
     this.#view.stage = LifeStage.Live;
@@ -254,7 +261,7 @@
         route: (workspace, name) => this.#view.routes.byName(workspace, name),
         version: () => this.#view.version,
         onControl: (link, frame) => {
-          this.#handleControl(link, frame);
+          this.#control.handle(link, frame);
         },
         onVersion: (link, version) => {
           this.spread.noteVersion(link, version);
@@ -280,7 +287,7 @@
       quarantine: this.#quarantine,
       placement: new Placement(instance.failureDomain, this.#board, picker),
       onCrash: (call, fingerprint, crashed) => {
-        this.#spreadSuspicion(call, fingerprint, crashed);
+        this.#control.spreadSuspicion(call, fingerprint, crashed);
       },
     });
     const { owner, links: peers } = this;
@@ -297,27 +304,6 @@
     });
   }
 
-  async #learnVersions(): Promise<void> {
-    while (!this.#stopped.signal.aborted) {
-      await this.spread.readOnce();
-      await this.#askPeers();
-      if (this.#view.isComplete) return;
-      await sleep(this.#timer, START_RETRY_MS, { signal: this.#stopped.signal });
-    }
-  }
-
-  /** A peer may have a newer version than a stale platform gives. */
-  async #askPeers(): Promise<void> {
-    const { id, failureDomain } = this.#settings.instance;
-    const others = this.#view.fleet.instances.filter((each) => each.id !== id);
-    const near = others.filter((each) => each.failureDomain === failureDomain);
-    const asked = [...near, ...others].slice(0, PEERS_ASKED);
-    const links = await Promise.all(asked.map((each) => this.#linkTo(each)));
-    const open = links.filter((link) => link !== undefined);
-    for (const link of open) this.spread.ask(link);
-    if (open.length > 0) await sleep(this.#timer, PEER_ANSWER_MS, { signal: this.#stopped.signal });
-  }
-
   async #linkTo(instance: Instance): Promise<PeerLink | undefined> {
     const opened = await this.links.open(instance);
     return opened.isOk() && opened.value instanceof PeerLink ? opened.value : undefined;
@@ -330,8 +316,7 @@
     this.#log.write(Event.DaemonPaused, { gapMs: Math.round(gapMs) });
     this.guard.refuseWaiting(notRun(RefusalReason.NotReady, 'the daemon was paused'));
     this.links.terminateAll();
-    await this.spread.readOnce();
-    await this.#askPeers();
+    await this.#learning.once();
     if (!this.#view.isLeaving) this.#view.stage = LifeStage.Live;
     this.#log.write(Event.DaemonResumed, { version: this.#view.version });
   }
@@ -341,40 +326,6 @@
     return this.entry.runOwned(call);
   }
 
-  #handleControl(link: PeerLink, frame: Frame): void {
-    switch (frame.kind) {
-      case FrameKind.Leaving:
-        this.#board.viewOf(link.peer.instanceId).recordLeaving();
-        break;
-      case FrameKind.Handover: {
-        const { handover } = frame;
-        const accepted = this.owner.adopt(handover);
-        const { incarnation } = handover;
-        link.sendFrame({ kind: FrameKind.HandoverAck, incarnation, accepted });
-        break;
-      }
-      case FrameKind.HandoverAck:
-        this.#handoverAcks.get(frame.incarnation)?.(frame.accepted);
-        break;
-      case FrameKind.Suspect:
-        this.#quarantine.recordCrash(frame.fingerprint, frame.instanceId);
-        break;
-      default:
-        this.spread.handle(link, frame);
-    }
-  }
-
-  #spreadSuspicion(call: Call, fingerprint: string, crashed: Instance): void {
-    const isNew = this.#quarantine.recordCrash(fingerprint, crashed.id);
-    if (!isNew) return;
-    const { geography } = this.#view.scene;
-    for (const link of this.links.links) {
-      const region = geography.regionOf(link.peer.failureDomain);
-      if (!call.route.homeRegions.permits(region)) continue;
-      link.sendFrame({ kind: FrameKind.Suspect, fingerprint, instanceId: crashed.id });
-    }
-  }
-
   #leave(): void {
     this.#view.stage = LifeStage.Leaving;
     this.#log.write(Event.DaemonDraining, { instance: this.#settings.instance.id });
@@ -401,7 +352,7 @@
       timer: this.#timer,
       successors: (incarnation) => successorsOf(incarnation, { fleet, exceptId, isPermitted }),
       link: (instance) => this.#linkTo(instance),
-      acks: this.#handoverAcks,
+      acks: this.#control.handoverAcks,
     });
   }
 
--- /dev/null
+++ b/daemon/peer_control.ts
@@ -0,0 +1,80 @@
+import type { Call } from '../contract/mod.ts';
+import type { KeyOwner } from '../idempotency/mod.ts';
+import type { Instance } from '../instance/mod.ts';
+import { FrameKind, type Frame, type HandoverFrame, type PeerLink } from '../link/mod.ts';
+import type { TargetBoard } from '../placement/mod.ts';
+import type { VersionSpread } from '../spread/mod.ts';
+import type { Quarantine } from '../target/mod.ts';
+import type { WorldView } from './world_view.ts';
+
+/** What a {@linkcode PeerControl} needs. */
+export interface PeerControlOptions {
+  view: WorldView;
+  board: TargetBoard;
+  quarantine: Quarantine;
+  owner: () => KeyOwner;
+  spread: () => VersionSpread;
+  /** @returns All open links. */
+  links: () => readonly PeerLink[];
+}
+
+/** Takes the frames between daemons that concern no attempt. */
+export class PeerControl {
+  readonly #options: PeerControlOptions;
+  /** Called with the acknowledgement of a handover, by incarnation. */
+  readonly handoverAcks = new Map<string, (accepted: boolean) => void>();
+
+  /** @param options See {@linkcode PeerControlOptions}. */
+  constructor(options: PeerControlOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param link The link that the frame came over.
+   * @param frame The frame.
+   */
+  handle(link: PeerLink, frame: Frame): void {
+    const { board, quarantine, spread } = this.#options;
+    switch (frame.kind) {
+      case FrameKind.Leaving:
+        board.viewOf(link.peer.instanceId).recordLeaving();
+        break;
+      case FrameKind.Handover:
+        this.#adopt(link, frame);
+        break;
+      case FrameKind.HandoverAck:
+        this.handoverAcks.get(frame.incarnation)?.(frame.accepted);
+        break;
+      case FrameKind.Suspect:
+        quarantine.recordCrash(frame.fingerprint, frame.instanceId);
+        break;
+      default:
+        spread().handle(link, frame);
+    }
+  }
+
+  /**
+   * Tells peers of a call that was in flight at a crash, within its home regions only.
+   *
+   * @param call The call.
+   * @param fingerprint Its fingerprint.
+   * @param crashed Instance whose target crashed.
+   */
+  spreadSuspicion(call: Call, fingerprint: string, crashed: Instance): void {
+    const { view, quarantine, links } = this.#options;
+    const isNew = quarantine.recordCrash(fingerprint, crashed.id);
+    if (!isNew) return;
+    const { geography } = view.scene;
+    for (const link of links()) {
+      const region = geography.regionOf(link.peer.failureDomain);
+      if (!call.route.homeRegions.permits(region)) continue;
+      link.sendFrame({ kind: FrameKind.Suspect, fingerprint, instanceId: crashed.id });
+    }
+  }
+
+  #adopt(link: PeerLink, { handover }: HandoverFrame): void {
+    const accepted = this.#options.owner().adopt(handover);
+    const { incarnation } = handover;
+    link.sendFrame({ kind: FrameKind.HandoverAck, incarnation, accepted });
+  }
+}
