--- a/contract/route.ts
+++ b/contract/route.ts
@@ -45,14 +45,10 @@
   coldSlots: number;
   /** Shortest time at the cold limit, in milliseconds. */
   coldMs: number;
-  /** Connections that a daemon may hold to its target. */
-  connections: number;
   /** Calls that may wait at one target. */
   queueLength: number;
   /** Longest wait at one target, in milliseconds. */
   queueWaitMs: number;
   /** Further attempts per hundred calls. */
   retryPercent: number;
-  /** Calls per target that one daemon spreads over; further members stay unused. */
-  subsetSize: number;
 }
--- /dev/null
+++ b/matrix/configuration_case.ts
@@ -0,0 +1,235 @@
+import {
+  EXAMPLE_DOMAINS,
+  ServiceState,
+  WayState,
+  World,
+  exampleConfiguration,
+  type FrameInTransit,
+  type WorldMember,
+} from '../fakes/mod.ts';
+import { FrameKind } from '../link/mod.ts';
+import { SeededRandom } from '../random/mod.ts';
+
+/** Where on a version's path a fault is caused. */
+export enum SpreadStep {
+  /** The version is readable at the platform. */
+  Published = 'published',
+  /** A watcher passes it on to a follower. */
+  PassedOn = 'passed-on',
+  /** Every daemon has it; a further one is published afterwards. */
+  InForce = 'in-force',
+}
+
+/** What can go wrong on a version's path. */
+export enum SpreadFault {
+  None = 'none',
+  ServiceDown = 'service-down',
+  ServiceStale = 'service-stale',
+  WatcherCrash = 'watcher-crash',
+  WatcherPause = 'watcher-pause',
+  BothWatchersCrash = 'both-watchers-crash',
+  FollowerCrash = 'follower-crash',
+  FollowerPause = 'follower-pause',
+  RegionCut = 'region-cut',
+  FrameLost = 'frame-lost',
+  FrameDoubled = 'frame-doubled',
+  FrameLate = 'frame-late',
+}
+
+/** One case of a version's path. */
+export interface SpreadCase {
+  step: SpreadStep;
+  fault: SpreadFault;
+  seed: number;
+}
+
+/** How a case ended. */
+export interface SpreadResult {
+  /** Daemons that the version had not reached 9 s after the fault was over. */
+  behind: number;
+  /** Times that a daemon's version in force fell within one run. */
+  reverted: number;
+  /** Time after the fault until the version was in force everywhere, in milliseconds. */
+  inForceMs: number;
+}
+
+const FAULT_MS = 3_000;
+const LIMIT_MS = 9_000;
+const POLL_MS = 50;
+const LATE_MS = 700;
+const DOMAIN = 'centro-a';
+const DAEMONS_PER_DOMAIN = 4;
+
+/**
+ * Publishes a version while a fault is caused, and judges by what each daemon has in force.
+ *
+ * @param each The case.
+ * @returns How it ended.
+ */
+export async function runSpreadCase(each: SpreadCase): Promise<SpreadResult> {
+  const world = await startWorld();
+  const run = new SpreadRun(world, each);
+  return run.play();
+}
+
+function startWorld(): Promise<World> {
+  const placings = EXAMPLE_DOMAINS.flatMap((failureDomain) =>
+    Array.from({ length: DAEMONS_PER_DOMAIN }, (_, index) => ({
+      id: `boards-${failureDomain}-${index}`,
+      pool: 'boards',
+      failureDomain,
+    })),
+  );
+  return World.start({ configuration: exampleConfiguration(), placings });
+}
+
+class SpreadRun {
+  readonly #world: World;
+  readonly #case: SpreadCase;
+  readonly #random: SeededRandom;
+  readonly #seen = new Map<string, number>();
+  #reverted = 0;
+  #isArmed = false;
+
+  constructor(world: World, each: SpreadCase) {
+    this.#world = world;
+    this.#case = each;
+    this.#random = new SeededRandom(each.seed);
+  }
+
+  async play(): Promise<SpreadResult> {
+    const { step } = this.#case;
+    await this.#advance(this.#random.below(2_000));
+    this.#world.network.filter = (transit) => this.#filter(transit);
+    if (step === SpreadStep.InForce) {
+      this.#publish(2);
+      await this.#advance(LIMIT_MS);
+      this.#cause();
+      this.#publish(3);
+    } else {
+      this.#isArmed = step === SpreadStep.PassedOn;
+      this.#publish(2);
+      if (step === SpreadStep.Published) this.#cause();
+    }
+    await this.#advance(FAULT_MS);
+    const wanted = step === SpreadStep.InForce ? 3 : 2;
+    const inForceMs = await this.#untilInForce(wanted);
+    return { behind: this.#behind(wanted), reverted: this.#reverted, inForceMs };
+  }
+
+  #publish(version: number): void {
+    this.#world.platform.publish(exampleConfiguration({ version }));
+  }
+
+  async #advance(durationMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += POLL_MS) {
+      await this.#world.timer.advance(POLL_MS);
+      this.#look();
+    }
+  }
+
+  async #untilInForce(version: number): Promise<number> {
+    let tookMs = 0;
+    while (tookMs < LIMIT_MS && this.#behind(version) > 0) {
+      await this.#advance(POLL_MS);
+      tookMs += POLL_MS;
+    }
+    return tookMs;
+  }
+
+  #behind(version: number): number {
+    const statuses = this.#world.members.map(({ daemon }) => daemon.status);
+    return statuses.filter(({ configurationVersion }) => configurationVersion < version).length;
+  }
+
+  #look(): void {
+    for (const { daemon } of this.#world.members) {
+      const { incarnation, configurationVersion } = daemon.status;
+      if (configurationVersion < (this.#seen.get(incarnation) ?? 0)) this.#reverted += 1;
+      this.#seen.set(incarnation, configurationVersion);
+    }
+  }
+
+  #filter({ frame }: FrameInTransit): { frame: FrameInTransit['frame']; delayMs: number }[] {
+    const { fault } = this.#case;
+    if (!this.#isArmed || frame.kind !== FrameKind.Document) return [{ frame, delayMs: 0 }];
+    this.#isArmed = false;
+    this.#cause();
+    if (fault === SpreadFault.FrameLost) return [];
+    if (fault === SpreadFault.FrameLate) return [{ frame, delayMs: LATE_MS }];
+    const sent = [{ frame, delayMs: 0 }];
+    if (fault === SpreadFault.FrameDoubled) sent.push({ frame, delayMs: LATE_MS });
+    return sent;
+  }
+
+  #cause(): void {
+    const { platform, timer } = this.#world;
+    const [watcher, otherWatcher] = this.#membersWhere(true);
+    const [follower] = this.#membersWhere(false);
+    switch (this.#case.fault) {
+      case SpreadFault.ServiceDown:
+      case SpreadFault.ServiceStale:
+        platform.setState(
+          this.#case.fault === SpreadFault.ServiceDown ? ServiceState.Down : ServiceState.Stale,
+        );
+        timer.after(FAULT_MS, () => {
+          platform.setState(ServiceState.Up);
+        });
+        break;
+      case SpreadFault.WatcherCrash:
+        this.#restart(watcher);
+        break;
+      case SpreadFault.BothWatchersCrash:
+        this.#restart(watcher);
+        this.#restart(otherWatcher);
+        break;
+      case SpreadFault.FollowerCrash:
+        this.#restart(follower);
+        break;
+      case SpreadFault.WatcherPause:
+        this.#pause(watcher);
+        break;
+      case SpreadFault.FollowerPause:
+        this.#pause(follower);
+        break;
+      case SpreadFault.RegionCut:
+        this.#cutRegions();
+        break;
+      default:
+        break;
+    }
+  }
+
+  #membersWhere(isWatcher: boolean): WorldMember[] {
+    return this.#world.members.filter(
+      ({ instance, daemon }) =>
+        instance.failureDomain === DOMAIN && daemon.status.isWatcher === isWatcher,
+    );
+  }
+
+  #restart(member: WorldMember | undefined): void {
+    if (member) this.#world.restartDaemon(member.instance.id);
+  }
+
+  #pause(member: WorldMember | undefined): void {
+    member?.clock.pause();
+    this.#world.timer.after(FAULT_MS, () => {
+      member?.clock.resume();
+    });
+  }
+
+  #cutRegions(): void {
+    const addresses = this.#world.members.map(({ instance }) => instance.peerAddress);
+    const setAll = (state: WayState) => {
+      for (const left of addresses.filter((each) => each.includes('centro'))) {
+        for (const right of addresses.filter((each) => each.includes('norte'))) {
+          this.#world.network.setWay(left, right, state);
+        }
+      }
+    };
+    setAll(WayState.Cut);
+    this.#world.timer.after(FAULT_MS, () => {
+      setAll(WayState.Up);
+    });
+  }
+}
--- /dev/null
+++ b/matrix/configuration_test.ts
@@ -0,0 +1,22 @@
+import t from 'tap';
+import { SpreadFault, SpreadStep, runSpreadCase } from './mod.ts';
+
+const SEED = 5;
+
+void t.test(
+  'a version comes into force everywhere and never reverts under any fault',
+  async (t) => {
+    const seen: string[] = [];
+    const broken: string[] = [];
+    for (const step of Object.values(SpreadStep)) {
+      for (const fault of Object.values(SpreadFault)) {
+        const { behind, reverted, inForceMs } = await runSpreadCase({ step, fault, seed: SEED });
+        seen.push(`${step} ${fault}: in force ${inForceMs} ms after the fault`);
+        if (behind + reverted > 0)
+          broken.push(`${step} ${fault}: behind=${behind} reverted=${reverted}`);
+      }
+    }
+    t.strictSame(broken, [], 'none behind after 9 s, none reverted');
+    t.matchSnapshot(seen, 'time to force');
+  },
+);
--- a/matrix/mod.ts
+++ b/matrix/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './configuration_case.ts';
 export * from './fault.ts';
 export * from './matrix.ts';
 export * from './run_case.ts';
--- a/stand_in/target_stand_in.ts
+++ b/stand_in/target_stand_in.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { HeaderName } from '../link/mod.ts';
 import { RealTimer, sleep } from '../timer/mod.ts';
 
 /** How a target behaves. */
@@ -16,6 +17,8 @@
   claimsHealth: boolean;
   /** Whether it answers errors at once. */
   failsFast: boolean;
+  /** Whether it finishes what it holds and sheds everything new. */
+  drains: boolean;
 }
 
 const DEFAULT_BEHAVIOUR: TargetBehaviour = {
@@ -25,6 +28,7 @@
   coldMs: 0,
   claimsHealth: true,
   failsFast: false,
+  drains: false,
 };
 const PROBE_COST_MS = 6;
 /** Header of a request that crashes the target that runs it. */
@@ -116,7 +120,7 @@
   }
 
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    res.setHeader('rhubarbkeel-target-incarnation', `${this.#options.name}/${this.#starts}`);
+    res.setHeader(HeaderName.TargetIncarnation, `${this.#options.name}/${this.#starts}`);
     if (req.url === '/health') {
       await this.#answerProbe(res);
       return;
@@ -125,6 +129,10 @@
       res.writeHead(500).end();
       return;
     }
+    if (this.behaviour.drains) {
+      res.writeHead(503, { [HeaderName.TargetShed]: 'draining' }).end();
+      return;
+    }
     const body = await readAll(req);
     if (body === undefined) return;
     await this.#enter();
@@ -155,7 +163,8 @@
   async #answerProbe(res: ServerResponse): Promise<void> {
     this.#probes += 1;
     await sleep(this.#timer, PROBE_COST_MS);
-    res.writeHead(this.behaviour.claimsHealth ? 200 : 503).end();
+    const isWell = this.behaviour.claimsHealth && !this.behaviour.drains;
+    res.writeHead(isWell ? 200 : 503).end();
   }
 
   async #enter(): Promise<void> {
