--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -157,7 +157,7 @@
   const hasRepeats = Object.keys(record).length < headers.length;
   if (!hasRepeats) return { ...record, ...own };
   const kept = headers.filter(([name]) => !(name in own));
-  return [...kept, ...Object.entries(own)].map(([name, value]) => [name, value]);
+  return [...kept, ...Object.entries(own)].map(([name, value]): [string, string] => [name, value]);
 }
 
 function toResponseBody(
