--- a/daemon/bad_input_test.ts
+++ b/daemon/bad_input_test.ts
@@ -134,6 +134,7 @@
 
 void t.test('caller server answers bad input without harm', async (t) => {
   const bench = await startBench();
+  t.teardown(() => stopBench(bench));
   const cases: Record<string, Sent> = {
     'a good call': {},
     'oversized headers': { headers: { 'x-large': 'z'.repeat(20_000) } },
@@ -159,11 +160,11 @@
     'a good call afterwards': {},
   };
   for (const [name, sent] of Object.entries(cases)) t.matchSnapshot(await send(bench, sent), name);
-  await stopBench(bench);
 });
 
 void t.test('peer link ends on a broken frame and harms nothing else', async (t) => {
   const bench = await startBench();
+  t.teardown(() => stopBench(bench));
   const socket = new WebSocket(`ws://127.0.0.1:${bench.guard.peerPort}`);
   await new Promise((resolve) => socket.once('open', resolve));
   const closed = new Promise((resolve) => socket.once('close', resolve));
@@ -172,16 +173,15 @@
   await closed;
   const rejected = bench.log.lines().filter((line) => line.startsWith('event=link-rejected'));
   t.matchSnapshot([await send(bench, {}), ...rejected], 'after the broken frame');
-  await stopBench(bench);
 });
 
 void t.test('caller that leaves cancels its call at the target', async (t) => {
   const bench = await startBench();
+  t.teardown(() => stopBench(bench));
   const socket = connect(bench.entry.callerPort, '127.0.0.1');
   socket.write('GET /boards/hang HTTP/1.1\r\nhost: x\r\nrhubarbkeel-workspace: plata\r\n\r\n');
   while (bench.guard.daemon.status.load.inFlight === 0) await turn();
   socket.destroy();
   while (bench.cancelled.length === 0) await turn();
   t.matchSnapshot(bench.cancelled, 'cancelled at the target');
-  await stopBench(bench);
 });
--- a/daemon/process_test.ts
+++ b/daemon/process_test.ts
@@ -46,6 +46,7 @@
 
 void t.test('rhubarbkeeld ends on SIGTERM without cutting a call', async (t) => {
   const deployment = await start(SERVICE_MS);
+  t.teardown(() => deployment.stop());
   const [entry, guard] = deployment.members;
   const [origin = ''] = deployment.origins;
   if (!entry || !guard) throw new Error('expected two daemons');
@@ -55,11 +56,11 @@
   entry.process.kill('SIGTERM');
   guard.process.kill('SIGTERM');
   t.matchSnapshot({ calls: await Promise.all(calls), exits: await exits }, 'calls and exit codes');
-  await deployment.stop();
 });
 
 void t.test('rhubarbkeeld ends at once on a second SIGTERM', async (t) => {
   const deployment = await start(HANGING_MS);
+  t.teardown(() => deployment.stop());
   const [entry] = deployment.members;
   const [origin = ''] = deployment.origins;
   if (!entry) throw new Error('expected a daemon');
@@ -72,5 +73,4 @@
   }
   t.matchSnapshot({ exit: await exit, call: await hanging }, 'exit code and call');
   for (const { process: child } of deployment.members) child.kill('SIGKILL');
-  await deployment.stop();
 });
