Cut regions in one place of the matrix

Cause: the cut of two regions stood twice, for calls and for versions.

Change: the version cases use the function of the call cases.

--- a/matrix/configuration_case.ts
+++ b/matrix/configuration_case.ts
@@ -1,7 +1,6 @@
 import {
   EXAMPLE_DOMAINS,
   ServiceState,
-  WayState,
   World,
   exampleConfiguration,
   type FrameInTransit,
@@ -9,6 +8,7 @@
 } from '../fakes/mod.ts';
 import { FrameKind } from '../link/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
+import { cutRegions } from './fault.ts';
 
 /** Where on a version's path a fault is caused. */
 export enum SpreadStep {
@@ -193,7 +193,7 @@
         this.#pause(follower);
         break;
       case SpreadFault.RegionCut:
-        this.#cutRegions();
+        cutRegions(this.#world);
         break;
       default:
         break;
@@ -217,19 +217,4 @@
       member?.clock.resume();
     });
   }
-
-  #cutRegions(): void {
-    const addresses = this.#world.members.map(({ instance }) => instance.peerAddress);
-    const setAll = (state: WayState) => {
-      for (const left of addresses.filter((each) => each.includes('centro'))) {
-        for (const right of addresses.filter((each) => each.includes('norte'))) {
-          this.#world.network.setWay(left, right, state);
-        }
-      }
-    };
-    setAll(WayState.Cut);
-    this.#world.timer.after(FAULT_MS, () => {
-      setAll(WayState.Up);
-    });
-  }
 }
--- a/matrix/fault.ts
+++ b/matrix/fault.ts
@@ -163,7 +163,13 @@
   return nothing;
 }
 
-function cutRegions(world: World): Heal {
+/**
+ * Cuts the two regions of the example from each other for a while.
+ *
+ * @param world The world.
+ * @returns How to undo it earlier.
+ */
+export function cutRegions(world: World): Heal {
   const addresses = world.members.map(({ instance }) => instance.peerAddress);
   const setAll = (state: WayState) => {
     for (const left of addresses.filter((each) => each.includes('centro'))) {
