--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,7 +2,7 @@
 import { cac } from 'cac';
 import { build } from 'hdr-histogram-js';
 import { Deployment, readExample } from '../demo/deployment.ts';
-import type { ConfigurationDocument } from '../platform/mod.ts';
+import type { ConfigurationDocument } from '../configuration/mod.ts';
 import { readUsage, startProgram, type ChildProgram } from './child_program.ts';
 import { callAtRate, callInLoops, latencyMs, makeWay, type Way } from './load.ts';
 
--- a/cli/check_command.ts
+++ b/cli/check_command.ts
@@ -1,7 +1,7 @@
 import { err, type Result } from 'neverthrow';
 import type { Finding, SourceDocument } from '../finding/mod.ts';
 import { checkDocument } from '../finding/mod.ts';
-import { Configuration } from '../platform/mod.ts';
+import { Configuration } from '../configuration/mod.ts';
 import { settingsSchema } from '../settings/mod.ts';
 import { ExitCode } from './exit_code.ts';
 import type { Output } from './output.ts';
--- a/compare/play.ts
+++ b/compare/play.ts
@@ -1,7 +1,7 @@
 import { Outcome } from '../contract/mod.ts';
 import { DomainState } from '../failure_domain/mod.ts';
 import { WayState, World } from '../fakes/mod.ts';
-import { configurationSchema, type ConfigurationDocument } from '../platform/mod.ts';
+import { configurationSchema, type ConfigurationDocument } from '../configuration/mod.ts';
 import { settingsSchema } from '../settings/mod.ts';
 import { ModelledTarget, SERVICE_HEADER } from './modelled_target.ts';
 import type { Policy } from './policy.ts';
--- a/compare/policy.ts
+++ b/compare/policy.ts
@@ -1,5 +1,5 @@
 import { PickerKind } from '../placement/mod.ts';
-import { LimitKind } from '../target/mod.ts';
+import { LimitKind } from '../guard/mod.ts';
 
 /** One way to decide: a picker, a limit and a retry setting. */
 export interface Policy {
--- a/platform/platform_reader.ts
+++ b/configuration/document_source.ts
@@ -8,7 +8,7 @@
 }
 
 /** Why the platform gave no answer. */
-export interface PlatformError {
+export interface SourceError {
   detail: string;
 }
 
@@ -22,10 +22,10 @@
 }
 
 /** The platform's configuration service and instance list, which can only be read. */
-export interface PlatformReader {
+export interface DocumentSource {
   /**
    * @param req What to read.
    * @returns The document, nothing if there was no newer one, or why there is no answer.
    */
-  read(req: ReadRequest): Promise<Result<PublishedDocument | undefined, PlatformError>>;
+  read(req: ReadRequest): Promise<Result<PublishedDocument | undefined, SourceError>>;
 }
--- a/platform/http_platform.ts
+++ b/configuration/http_source.ts
@@ -1,11 +1,11 @@
 import { err, ok, type Result } from 'neverthrow';
 import { Pool } from 'undici';
 import type {
-  PlatformError,
-  PlatformReader,
+  SourceError,
+  DocumentSource,
   PublishedDocument,
   ReadRequest,
-} from './platform_reader.ts';
+} from './document_source.ts';
 
 /** Time beyond the asked wait after which a read counts as failed, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 2_000;
@@ -14,7 +14,7 @@
 export const VERSION_HEADER = 'document-version';
 
 /** Reads the platform over HTTP. */
-export class HttpPlatform implements PlatformReader {
+export class HttpSource implements DocumentSource {
   readonly #pool: Pool;
 
   /** @param url Origin of the platform's service. */
@@ -22,7 +22,7 @@
     this.#pool = new Pool(url, { connections: CONNECTIONS, headersTimeout: 0, bodyTimeout: 0 });
   }
 
-  async read(req: ReadRequest): Promise<Result<PublishedDocument | undefined, PlatformError>> {
+  async read(req: ReadRequest): Promise<Result<PublishedDocument | undefined, SourceError>> {
     const { document, afterVersion, waitMs } = req;
     try {
       const res = await this.#pool.request({
--- a/platform/mod.ts
+++ b/configuration/mod.ts
@@ -15,6 +15,6 @@
 export * from './document_kind.ts';
 export * from './document_store.ts';
 export * from './fleet_schema.ts';
-export * from './http_platform.ts';
-export * from './platform_reader.ts';
+export * from './http_source.ts';
+export * from './document_source.ts';
 export * from './watchers.ts';
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -13,11 +13,11 @@
 import { LifeStage, newIncarnation, type Instance } from '../instance/mod.ts';
 import { FrameKind, LinkTable, PeerLink, type Dialer, type FrameChannel } from '../link/mod.ts';
 import { Placement, TargetBoard, makePicker } from '../placement/mod.ts';
-import type { Configuration, PlatformReader } from '../platform/mod.ts';
+import type { Configuration, DocumentSource } from '../configuration/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
 import type { Settings } from '../settings/mod.ts';
 import { VersionSpread } from '../spread/mod.ts';
-import { Guard, Quarantine, type TargetPort } from '../target/mod.ts';
+import { Guard, Quarantine, type TargetPort } from '../guard/mod.ts';
 import { PauseWatch, sleep, type Subscription, type TimerService } from '../timer/mod.ts';
 import { handOverKeys, type HandoverResult } from './hand_over_keys.ts';
 import type { DaemonStatus } from './daemon_status.ts';
@@ -34,7 +34,7 @@
   timer: TimerService;
   log: EventLog;
   dialer: Dialer;
-  platform: PlatformReader;
+  platform: DocumentSource;
   target: TargetPort;
   /** Incarnation of this run; a fresh one by default. */
   incarnation?: string;
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -12,7 +12,7 @@
   type ListenError,
 } from '../link/mod.ts';
 import { Metric, NoMetrics, StatsdMetrics, type Metrics } from '../metrics/mod.ts';
-import { HttpPlatform } from '../platform/mod.ts';
+import { HttpSource } from '../configuration/mod.ts';
 import type { Settings } from '../settings/mod.ts';
 import { RealTimer, type Subscription, type TimerService } from '../timer/mod.ts';
 import { Daemon } from './daemon.ts';
@@ -30,7 +30,7 @@
   readonly daemon: Daemon;
   readonly #servers: { callers: CallerServer; peers: PeerServer; operators: OperatorServer };
   readonly #target: TargetClient;
-  readonly #platform: HttpPlatform;
+  readonly #platform: HttpSource;
   readonly #metrics: Metrics;
   readonly #gauges: Subscription;
 
@@ -39,7 +39,7 @@
     servers: { callers: CallerServer; peers: PeerServer; operators: OperatorServer },
     parts: {
       target: TargetClient;
-      platform: HttpPlatform;
+      platform: HttpSource;
       metrics: Metrics;
       gauges: Subscription;
     },
@@ -64,7 +64,7 @@
   }: DaemonProcessOptions): Promise<Result<DaemonProcess, ListenError[]>> {
     const timer = new RealTimer();
     const target = new TargetClient(settings.target.url, settings.target);
-    const platform = new HttpPlatform(settings.platform.url);
+    const platform = new HttpSource(settings.platform.url);
     const metrics = makeMetrics(settings);
     const dialer = new WsDialer();
     const daemon = new Daemon({ settings, timer, log, dialer, platform, target });
--- a/daemon/daemon_status.ts
+++ b/daemon/daemon_status.ts
@@ -1,6 +1,6 @@
 import type { LoadState } from '../contract/mod.ts';
 import type { LifeStage } from '../instance/mod.ts';
-import type { RejectedVersion } from '../platform/mod.ts';
+import type { RejectedVersion } from '../configuration/mod.ts';
 
 /** What operators see of one daemon. */
 export interface DaemonStatus {
--- a/daemon/peer_control.ts
+++ b/daemon/peer_control.ts
@@ -4,7 +4,7 @@
 import { FrameKind, type Frame, type HandoverFrame, type PeerLink } from '../link/mod.ts';
 import type { TargetBoard } from '../placement/mod.ts';
 import type { VersionSpread } from '../spread/mod.ts';
-import type { Quarantine } from '../target/mod.ts';
+import type { Quarantine } from '../guard/mod.ts';
 import type { WorldView } from './world_view.ts';
 
 /** What a {@linkcode PeerControl} needs. */
--- a/daemon/world_view.ts
+++ b/daemon/world_view.ts
@@ -2,9 +2,9 @@
 import type { Scene } from '../entry/mod.ts';
 import { Geography } from '../failure_domain/mod.ts';
 import { Fleet, LifeStage } from '../instance/mod.ts';
-import { DocumentKind, DocumentStore, type Configuration } from '../platform/mod.ts';
+import { DocumentKind, DocumentStore, type Configuration } from '../configuration/mod.ts';
 import type { Settings } from '../settings/mod.ts';
-import { AdmissionPhase } from '../target/mod.ts';
+import { AdmissionPhase } from '../guard/mod.ts';
 
 const NO_ROUTES = new RouteTable([], []);
 const NO_GEOGRAPHY = new Geography([]);
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -28,7 +28,7 @@
   type Placement,
   type TargetBoard,
 } from '../placement/mod.ts';
-import type { Quarantine } from '../target/mod.ts';
+import type { Quarantine } from '../guard/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 import type { AttemptCounter } from './attempt_counter.ts';
 import { raceHedged } from './hedge.ts';
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 const transports = ['ws', 'hono', 'undici', 'msgpackr', '@hono/node-server'];
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', '.tap/', 'tap-snapshots/', 'eslint.config.js'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', '.tap/', 'tap-snapshots/', 'eslint.config.js'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
@@ -34,7 +34,7 @@
   {
     files: [
       'placement/**',
-      'target/**',
+      'guard/**',
       'contract/**',
       'failure_domain/**',
       'instance/**',
--- a/fakes/example_configuration.ts
+++ b/fakes/example_configuration.ts
@@ -1,5 +1,5 @@
-import type { ConfigurationDocument } from '../platform/mod.ts';
-import { configurationSchema } from '../platform/mod.ts';
+import type { ConfigurationDocument } from '../configuration/mod.ts';
+import { configurationSchema } from '../configuration/mod.ts';
 
 /** Changes to the example of {@linkcode exampleConfiguration}. */
 export interface ExampleOptions {
--- a/fakes/fake_platform.ts
+++ b/fakes/fake_platform.ts
@@ -4,11 +4,11 @@
   DocumentKind,
   toFleetDocument,
   type ConfigurationDocument,
-  type PlatformError,
-  type PlatformReader,
+  type SourceError,
+  type DocumentSource,
   type PublishedDocument,
   type ReadRequest,
-} from '../platform/mod.ts';
+} from '../configuration/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 
 /** How the platform's service behaves. */
@@ -22,7 +22,7 @@
 const ANSWER_MS = 3;
 
 /** The platform in memory. */
-export class FakePlatform implements PlatformReader {
+export class FakePlatform implements DocumentSource {
   readonly #timer: TimerService;
   readonly #waiting = new Set<() => void>();
   readonly #documents: Record<DocumentKind, PublishedDocument>;
@@ -64,7 +64,7 @@
     this.#wake();
   }
 
-  async read(req: ReadRequest): Promise<Result<PublishedDocument | undefined, PlatformError>> {
+  async read(req: ReadRequest): Promise<Result<PublishedDocument | undefined, SourceError>> {
     this.reads += 1;
     await this.#pause(ANSWER_MS);
     if (this.#isDown()) return err({ detail: 'down' });
--- a/fakes/fake_target.ts
+++ b/fakes/fake_target.ts
@@ -6,7 +6,7 @@
   type TargetFailure,
   type TargetPort,
   type TargetRequest,
-} from '../target/mod.ts';
+} from '../guard/mod.ts';
 import { sleep, type TimerService } from '../timer/mod.ts';
 
 /** At which step of a call a target crashes. */
--- a/fakes/world.ts
+++ b/fakes/world.ts
@@ -5,14 +5,14 @@
 import { MemoryLog, type EventLog } from '../event_log/mod.ts';
 import { LifeStage, type Instance } from '../instance/mod.ts';
 import type { DialError, Dialer, FrameChannel } from '../link/mod.ts';
-import type { ConfigurationDocument } from '../platform/mod.ts';
+import type { ConfigurationDocument } from '../configuration/mod.ts';
 import { settingsSchema, type Settings } from '../settings/mod.ts';
 import {
   TargetFailureKind,
   type TargetAnswer,
   type TargetFailure,
   type TargetPort,
-} from '../target/mod.ts';
+} from '../guard/mod.ts';
 import { VirtualTimer, type TimerService } from '../timer/mod.ts';
 import { FakePlatform } from './fake_platform.ts';
 import { FakeTarget, RUN_ID_HEADER } from './fake_target.ts';
--- a/link/frame.ts
+++ b/link/frame.ts
@@ -1,4 +1,4 @@
-import type { DocumentKind } from '../platform/mod.ts';
+import type { DocumentKind } from '../configuration/mod.ts';
 import type { Handover } from '../idempotency/mod.ts';
 import type { Leg, LoadState, Outcome, RefusalReason, FailureKind } from '../contract/mod.ts';
 
--- a/link/frame_layout.ts
+++ b/link/frame_layout.ts
@@ -1,5 +1,5 @@
 import { FailureKind, Leg, Outcome, RefusalReason, TargetStage } from '../contract/mod.ts';
-import { DocumentKind } from '../platform/mod.ts';
+import { DocumentKind } from '../configuration/mod.ts';
 import { FrameKind, type Frame } from './frame.ts';
 
 /** Tells whether a decoded value may stand in a field. */
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -8,7 +8,7 @@
   type TargetFailure,
   type TargetPort,
   type TargetRequest,
-} from '../target/mod.ts';
+} from '../guard/mod.ts';
 import { readBody } from './caller_server.ts';
 import { HeaderName, endToEnd } from './headers.ts';
 
--- a/scale/apply_cost.ts
+++ b/scale/apply_cost.ts
@@ -1,6 +1,11 @@
 import { SourceDocument } from '../finding/mod.ts';
 import { LifeStage, type Instance } from '../instance/mod.ts';
-import { Configuration, DocumentKind, DocumentStore, toFleetDocument } from '../platform/mod.ts';
+import {
+  Configuration,
+  DocumentKind,
+  DocumentStore,
+  toFleetDocument,
+} from '../configuration/mod.ts';
 import { FLEET_DOMAINS, fleetConfiguration } from './fleet_configuration.ts';
 
 const ROUNDS = 12;
--- a/scale/fleet_configuration.ts
+++ b/scale/fleet_configuration.ts
@@ -1,4 +1,4 @@
-import { configurationSchema, type ConfigurationDocument } from '../platform/mod.ts';
+import { configurationSchema, type ConfigurationDocument } from '../configuration/mod.ts';
 
 /** Failure domains of the size aimed at: seven in two regions. */
 export const FLEET_DOMAINS = ['east-a', 'east-b', 'east-c', 'east-d', 'west-a', 'west-b', 'west-c'];
--- a/settings/settings.ts
+++ b/settings/settings.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod';
 import { SourceDocument, checkDocument, type Finding } from '../finding/mod.ts';
 import { PickerKind } from '../placement/mod.ts';
-import { LimitKind } from '../target/mod.ts';
+import { LimitKind } from '../guard/mod.ts';
 
 const port = z.int().min(0).max(65_535);
 const url = z.url({ protocol: /^https?$/ });
--- a/spread/version_spread.ts
+++ b/spread/version_spread.ts
@@ -7,8 +7,8 @@
   watchersOf,
   type DocumentStore,
   type OfferedDocument,
-  type PlatformReader,
-} from '../platform/mod.ts';
+  type DocumentSource,
+} from '../configuration/mod.ts';
 import type { RandomSource } from '../random/mod.ts';
 import { sleep, type TimerService } from '../timer/mod.ts';
 
@@ -31,7 +31,7 @@
   log: EventLog;
   random: RandomSource;
   store: DocumentStore;
-  platform: PlatformReader;
+  platform: DocumentSource;
   instanceId: string;
   failureDomain: string;
   fleet: () => Fleet;
--- a/stand_in/platform_stand_in.ts
+++ b/stand_in/platform_stand_in.ts
@@ -5,7 +5,12 @@
 import { Hono, type Context } from 'hono';
 import { SourceDocument, formatFinding } from '../finding/mod.ts';
 import type { Instance } from '../instance/mod.ts';
-import { Configuration, DocumentKind, VERSION_HEADER, toFleetDocument } from '../platform/mod.ts';
+import {
+  Configuration,
+  DocumentKind,
+  VERSION_HEADER,
+  toFleetDocument,
+} from '../configuration/mod.ts';
 import { RealTimer } from '../timer/mod.ts';
 
 /** How the platform's service behaves. */
