--- a/cli/daemon_commands.ts
+++ b/cli/daemon_commands.ts
@@ -12,9 +12,9 @@
 interface RouteRow {
   workspace: string;
   name: string;
-  methods: string[];
+  methods?: string[];
   path: string;
-  pool: string;
+  pools: { pool: string }[];
   repeatability: string;
   homeRegions: string;
 }
@@ -76,9 +76,9 @@
   const rows = routes.map((route) => [
     route.workspace,
     route.name,
-    route.methods.join(','),
+    route.methods?.join(',') ?? 'any',
     route.path,
-    route.pool,
+    route.pools.map(({ pool }) => pool).join(','),
     route.repeatability,
     route.homeRegions,
   ]);
--- a/compare/modelled_target.ts
+++ b/compare/modelled_target.ts
@@ -2,6 +2,8 @@
 import { WholeBody } from '../contract/mod.ts';
 import {
   TargetFailureKind,
+  HEALTHY,
+  type ProbeReport,
   type TargetAnswer,
   type TargetFailure,
   type TargetPort,
@@ -73,10 +75,10 @@
     return ok(this.#answer(200));
   }
 
-  async probe(): Promise<boolean> {
+  async probe(): Promise<ProbeReport | undefined> {
     this.probes += 1;
     await sleep(this.#options.timer, PROBE_MS);
-    return true;
+    return HEALTHY;
   }
 
   async #enter(): Promise<void> {
@@ -96,9 +98,17 @@
   }
 
   #answer(status: number): TargetAnswer {
-    const incarnation = `${this.#options.name}/${this.#starts}`;
+    const targetId = `${this.#options.name}/${this.#starts}`;
     const body = new WholeBody(new Uint8Array());
-    return { status, headers: [], body, load: undefined, incarnation, shed: false };
+    return {
+      status,
+      headers: [],
+      body,
+      load: undefined,
+      targetId,
+      shed: false,
+      reported: undefined,
+    };
   }
 }
 
--- a/configuration/configuration.ts
+++ b/configuration/configuration.ts
@@ -4,6 +4,7 @@
   Repeatability,
   RouteTable,
   type Pool,
+  type PoolShare,
   type Route,
   type Workspace,
 } from '../contract/mod.ts';
@@ -39,7 +40,7 @@
     const workspaces = document.workspaces.map(toWorkspace);
     const routes = document.routes.map((route) => toRoute(route, workspaces));
     this.routes = new RouteTable(workspaces, routes);
-    for (const pool of document.pools) this.#pools.set(pool.name, pool);
+    for (const pool of document.pools) this.#pools.set(pool.name, toPool(pool));
   }
 
   /**
@@ -69,6 +70,7 @@
 }
 
 type Check = Either<Finding, void>;
+type PoolDocument = ConfigurationDocument['pools'][number];
 type RouteDocument = ConfigurationDocument['routes'][number];
 type WorkspaceDocument = ConfigurationDocument['workspaces'][number];
 
@@ -76,16 +78,32 @@
   return { ...document, homeRegions: HomeRegions.of(document.homeRegions) };
 }
 
+function toPool({ coldPerSecond, healthPath, ...rest }: PoolDocument): Pool {
+  return { ...rest, coldPerSecond, healthPath };
+}
+
 function toRoute(document: RouteDocument, workspaces: readonly Workspace[]): Route {
   const workspace = workspaces.find((each) => each.name === document.workspace);
   const own = HomeRegions.of(document.homeRegions);
   return {
     ...document,
-    repeatability: document.idempotent ? Repeatability.Idempotent : Repeatability.NonIdempotent,
+    methods: document.methods,
+    pools: sharesOf(document),
+    objectiveMs: document.objectiveMs ?? document.timeoutMs,
+    repeatability: repeatabilityOf(document),
     homeRegions: own.intersect(workspace?.homeRegions ?? HomeRegions.ANYWHERE),
   };
 }
 
+function repeatabilityOf({ idempotent, issuedKeys }: RouteDocument): Repeatability {
+  if (idempotent) return Repeatability.Idempotent;
+  return issuedKeys ? Repeatability.NonIdempotent : Repeatability.Keyless;
+}
+
+function sharesOf({ pool, pools }: RouteDocument): PoolShare[] {
+  return pools ?? (pool === undefined ? [] : [{ pool, weight: 1 }]);
+}
+
 function checkReferences(source: SourceDocument, document: ConfigurationNames): Finding[] {
   return Either.lefts([
     ...checkUnique(source, 'failureDomains', document.failureDomains),
@@ -138,13 +156,35 @@
   const workspaces = document.workspaces.map((workspace) => workspace.name);
   const regions = document.failureDomains.map((domain) => domain.region);
   return document.routes.flatMap((route, index) => [
-    checkName(source, ['routes', index, 'pool'], { got: route.pool, known: pools }),
+    ...checkPoolNames(source, index, { route, known: pools }),
     checkName(source, ['routes', index, 'workspace'], { got: route.workspace, known: workspaces }),
     ...checkRegions(source, ['routes', index], { got: route.homeRegions, regions }),
     checkHome(source, index, document),
   ]);
 }
 
+interface PoolNamesCheck {
+  route: ConfigurationNames['routes'][number];
+  known: readonly string[];
+}
+
+function checkPoolNames(
+  source: SourceDocument,
+  index: number,
+  { route, known }: PoolNamesCheck,
+): Check[] {
+  const { pool, pools } = route;
+  const path = ['routes', index];
+  if ((pool === undefined) === (pools === undefined)) {
+    const problem = 'expected either "pool" or "pools"';
+    return [ensure(false, () => makeFinding(source, path, problem))];
+  }
+  if (pool !== undefined) return [checkName(source, [...path, 'pool'], { got: pool, known })];
+  return (pools ?? []).map((share, at) =>
+    checkName(source, [...path, 'pools', at, 'pool'], { got: share.pool, known }),
+  );
+}
+
 function checkHome(source: SourceDocument, index: number, document: ConfigurationNames): Check {
   const route = document.routes[index];
   if (!route) return Right(undefined);
--- a/configuration/configuration_schema.ts
+++ b/configuration/configuration_schema.ts
@@ -1,13 +1,15 @@
 import { z } from 'zod';
 import { DomainState } from '../failure_domain/mod.ts';
 
-const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, {
-  error: 'expected a name of a-z, 0-9 and "-"',
+const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,252}$/, {
+  error: 'expected a name of a-z, 0-9, "." and "-"',
 });
 const count = z.int().min(1);
 const milliseconds = z.number().positive();
 
 const DEFAULT_BODY_LIMIT_BYTES = 1_048_576;
+const DEFAULT_MAX_ATTEMPTS = 32;
+const METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
 
 /** Shape of a configuration document. */
 export const configurationSchema = z.strictObject({
@@ -34,6 +36,8 @@
       slots: count,
       coldSlots: count.default(1),
       coldMs: z.number().min(0).default(1_000),
+      coldPerSecond: z.number().positive().optional(),
+      healthPath: z.string().startsWith('/').optional(),
       queueLength: z.int().min(0).default(60),
       queueWaitMs: milliseconds.default(250),
       retryPercent: z.number().min(0).max(100).default(10),
@@ -43,18 +47,32 @@
     z.strictObject({
       name,
       workspace: name,
-      methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1),
+      methods: z.array(z.enum(METHODS)).min(1).optional(),
       path: z.string().startsWith('/'),
-      pool: name,
+      pool: name.optional(),
+      pools: z
+        .array(z.strictObject({ pool: name, weight: z.number().min(0) }))
+        .min(1)
+        .optional(),
       idempotent: z.boolean(),
+      issuedKeys: z.boolean().default(true),
       homeRegions: z.array(name).min(1).optional(),
       weight: z.number().positive().default(1),
       timeoutMs: milliseconds.default(2_000),
+      objectiveMs: milliseconds.optional(),
+      maxAttempts: count.default(DEFAULT_MAX_ATTEMPTS),
       bodyLimitBytes: z.int().min(0).default(DEFAULT_BODY_LIMIT_BYTES),
       quarantine: z.boolean().default(false),
       hedge: z.boolean().default(false),
     }),
   ),
+  /** Bounds of callers' connections. */
+  callers: z
+    .strictObject({
+      headerTimeoutMs: milliseconds.default(10_000),
+      idleTimeoutMs: milliseconds.default(60_000),
+    })
+    .prefault({}),
 });
 
 const anyName = z.string().catch('');
@@ -71,7 +89,16 @@
     z.object({ name: anyName, slots: count.catch(Infinity), coldSlots: count.catch(1) }),
   ),
   routes: z.array(
-    z.object({ name: anyName, workspace: anyName, pool: anyName, homeRegions: anyNames }),
+    z.object({
+      name: anyName,
+      workspace: anyName,
+      pool: z.string().optional().catch(undefined),
+      pools: z
+        .array(z.object({ pool: anyName }))
+        .optional()
+        .catch(undefined),
+      homeRegions: anyNames,
+    }),
   ),
 });
 
@@ -80,3 +107,6 @@
 
 /** A configuration document that has the right shape. */
 export type ConfigurationDocument = z.infer<typeof configurationSchema>;
+
+/** A configuration document before its defaults are filled in. */
+export type ConfigurationInput = z.input<typeof configurationSchema>;
--- a/configuration/fleet_schema.ts
+++ b/configuration/fleet_schema.ts
@@ -12,6 +12,8 @@
       peerAddress: z.string(),
       callerAddress: z.string(),
       stage: z.enum(LifeStage).default(LifeStage.Live),
+      targetId: z.string().optional(),
+      slots: z.int().min(1).optional(),
     }),
   ),
 });
--- a/contract/call.ts
+++ b/contract/call.ts
@@ -2,7 +2,7 @@
 import type { Body } from './body.ts';
 import type { Deadline } from './deadline.ts';
 import type { LoadState } from './load_state.ts';
-import type { Refusal } from './refusal.ts';
+import { RefusalReason, type Refusal } from './refusal.ts';
 import type { Route } from './route.ts';
 
 /** Header names and values, in order. */
@@ -13,6 +13,10 @@
   /** Unique identifier of the call, for logs and traces. */
   id: string;
   route: Route;
+  /** Pool that is to run it, one of the route's. */
+  pool: string;
+  /** Pool of the instance at which it began. */
+  callerPool: string;
   method: string;
   /** Path and query. */
   target: string;
@@ -80,6 +84,14 @@
   return kind === FailureKind.NotSent || kind === FailureKind.Refused;
 }
 
+/**
+ * @param failure An attempt without an answer.
+ * @returns Whether it arrived at its target, run or not.
+ */
+export function hasReachedTarget({ kind, refusal }: AttemptFailure): boolean {
+  return !isNotRun(kind) || refusal.reason === RefusalReason.TargetShed;
+}
+
 /** An attempt without an answer. */
 export interface AttemptFailure {
   kind: FailureKind;
--- a/contract/mod.ts
+++ b/contract/mod.ts
@@ -4,7 +4,7 @@
  * ```ts
  * import { RetryBudget } from 'rhubarbkeel';
  *
- * const budget = new RetryBudget(10, { burst: 1 });
+ * const budget = new RetryBudget(10, { burst: () => 1 });
  * console.assert(budget.tryTake() && !budget.tryTake());
  * ```
  *
--- a/contract/refusal.ts
+++ b/contract/refusal.ts
@@ -21,6 +21,8 @@
   Leaving = 'leaving',
   NotReady = 'not-ready',
   TargetBusy = 'target-busy',
+  /** The target itself refused the call unrun. */
+  TargetShed = 'target-shed',
   TargetDown = 'target-down',
   NoTarget = 'no-target',
   RetryBudgetSpent = 'retry-budget-spent',
--- a/contract/retry_budget.ts
+++ b/contract/retry_budget.ts
@@ -1,7 +1,7 @@
 /** Options of {@linkcode RetryBudget}. */
 export interface RetryBudgetOptions {
-  /** Retries that may be made in a burst. */
-  burst?: number;
+  /** @returns Retries that may be made in a burst. */
+  burst?: () => number;
 }
 
 const DEFAULT_BURST = 10;
@@ -12,7 +12,7 @@
  */
 export class RetryBudget {
   readonly #share: number;
-  readonly #burst: number;
+  readonly #burst: () => number;
   #tokens: number;
 
   /**
@@ -21,13 +21,13 @@
    */
   constructor(percent: number, options: RetryBudgetOptions = {}) {
     this.#share = percent / 100;
-    this.#burst = options.burst ?? DEFAULT_BURST;
-    this.#tokens = this.#burst;
+    this.#burst = options.burst ?? (() => DEFAULT_BURST);
+    this.#tokens = this.#burst();
   }
 
   /** Counts one call, which earns a share of a retry. */
   recordCall(): void {
-    this.#tokens = Math.min(this.#burst, this.#tokens + this.#share);
+    this.#tokens = Math.min(this.#burst(), this.#tokens + this.#share);
   }
 
   /** @returns Whether a retry may be made; if so it is counted. */
--- a/contract/route.ts
+++ b/contract/route.ts
@@ -5,6 +5,15 @@
   Idempotent = 'idempotent',
   /** Runs at most once, under an issued key. */
   NonIdempotent = 'non-idempotent',
+  /** Runs at most once each time it is sent; its caller holds no key to ask again with. */
+  Keyless = 'keyless',
+}
+
+/** One of the pools that share a route's calls. */
+export interface PoolShare {
+  pool: string;
+  /** Share of the calls, relative to the other pools. */
+  weight: number;
 }
 
 /** A customer's share of the configuration. */
@@ -19,16 +28,22 @@
 export interface Route {
   name: string;
   workspace: string;
-  methods: readonly string[];
+  /** Methods that it serves; all if absent. */
+  methods: readonly string[] | undefined;
   /** Path prefix; matches whole segments. */
   path: string;
-  pool: string;
+  /** Pools that share its calls; at least one. */
+  pools: readonly PoolShare[];
   repeatability: Repeatability;
   /** Regions that both the workspace and the route permit. */
   homeRegions: HomeRegions;
   /** Value of one answer in time, relative to other routes; the lowest is shed first. */
   weight: number;
   timeoutMs: number;
+  /** Time within which an answer has its full value, in milliseconds. */
+  objectiveMs: number;
+  /** Targets that one call may reach. */
+  maxAttempts: number;
   bodyLimitBytes: number;
   /** Whether its calls are fingerprinted to find those that crash targets. */
   quarantine: boolean;
@@ -36,6 +51,14 @@
   hedge: boolean;
 }
 
+/**
+ * @param route A route.
+ * @returns Whether a call of it may run once at most.
+ */
+export function runsAtMostOnce({ repeatability }: Route): boolean {
+  return repeatability !== Repeatability.Idempotent;
+}
+
 /** Targets that serve the same calls, and their limits. */
 export interface Pool {
   name: string;
@@ -45,6 +68,10 @@
   coldSlots: number;
   /** Shortest time at the cold limit, in milliseconds. */
   coldMs: number;
+  /** Calls a second that a cold target bears; no bound if absent. */
+  coldPerSecond: number | undefined;
+  /** Path of its targets' health endpoint; that of the settings if absent. */
+  healthPath: string | undefined;
   /** Calls that may wait at one target. */
   queueLength: number;
   /** Longest wait at one target, in milliseconds. */
--- a/contract/route_table.ts
+++ b/contract/route_table.ts
@@ -73,7 +73,7 @@
 }
 
 function matches(route: Route, query: RouteQuery): boolean {
-  if (!route.methods.includes(query.method)) return false;
+  if (route.methods && !route.methods.includes(query.method)) return false;
   if (!query.path.startsWith(route.path)) return false;
   const next = query.path[route.path.length];
   return next === undefined || next === '/' || route.path.endsWith('/');
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -26,6 +26,8 @@
 import { WorldView } from './world_view.ts';
 
 const DRAIN_POLL_MS = 10;
+/** Time kept for the last steps of a planned stop, in milliseconds. */
+const EXIT_MARGIN_MS = 300;
 const PRUNE_PERIOD_MS = 30_000;
 
 /** What a {@linkcode Daemon} needs from outside. */
@@ -83,6 +85,8 @@
       port: target,
       limitKind: decisions.limit,
       quarantine: this.#quarantine,
+      probePeriodMs: settings.target.probePeriodMs,
+      slots: () => this.#view.fleet.find(instance.id)?.slots,
       pool: () => this.#view.configuration?.pool(instance.pool),
       objection: (attempt, phase) => {
         this.#pauseWatch.check();
@@ -211,10 +215,12 @@
    */
   async drain(): Promise<HandoverResult> {
     if (!this.#view.isLeaving) this.#leave();
-    await this.#untilIdle();
+    const endMs = this.#timer.now() + this.#settings.drainTimeoutMs - EXIT_MARGIN_MS;
+    await this.#turnCallersAway();
+    await this.#untilIdle(endMs);
     const result = await this.#handOver();
     this.#log.write(Event.KeysHandedOver, { ...result });
-    await this.#untilIdle();
+    await this.#untilIdle(endMs);
     this.#stop();
     return result;
   }
@@ -286,6 +292,7 @@
       board: this.#board,
       quarantine: this.#quarantine,
       placement: new Placement(instance.failureDomain, this.#board, picker),
+      retryBurst: () => this.#retryBurst(),
       onCrash: (call, fingerprint, crashed) => {
         this.#control.spreadSuspicion(call, fingerprint, crashed);
       },
@@ -294,6 +301,9 @@
     return new Entry({
       timer,
       log,
+      random,
+      pool: instance.pool,
+      foreignEntry: decisions.foreignEntry,
       dispatcher,
       owner,
       relay: new KeyRelay({ timer, owner, peers, attempts, scene }),
@@ -304,6 +314,13 @@
     });
   }
 
+  /** Retries in a burst: this daemon's share of what the whole fleet may make, if that is bounded. */
+  #retryBurst(): number {
+    const { burst, fleetBurst } = this.#settings.retries;
+    if (fleetBurst === undefined) return burst;
+    return Math.max(1, fleetBurst / Math.max(1, this.#view.fleet.size));
+  }
+
   async #linkTo(instance: Instance): Promise<PeerLink | undefined> {
     const opened = await this.links.open(instance);
     return opened.isOk() && opened.value instanceof PeerLink ? opened.value : undefined;
@@ -333,8 +350,15 @@
     this.owner.freeze();
   }
 
-  async #untilIdle(): Promise<void> {
-    const endMs = this.#timer.now() + this.#settings.drainTimeoutMs;
+  async #turnCallersAway(): Promise<void> {
+    const { lameDuckMs } = this.#settings;
+    if (lameDuckMs === 0) return;
+    this.#view.isLameDuck = true;
+    await sleep(this.#timer, lameDuckMs);
+    this.#view.isLameDuck = false;
+  }
+
+  async #untilIdle(endMs: number): Promise<void> {
     while (this.#timer.now() < endMs && !this.#isIdle) await sleep(this.#timer, DRAIN_POLL_MS);
   }
 
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -6,14 +6,17 @@
 import {
   CallerServer,
   OperatorServer,
+  OwnDialect,
   PeerServer,
   TargetClient,
   WsDialer,
+  type HttpDialect,
   type ListenError,
 } from '../link/mod.ts';
 import { Metric, NoMetrics, StatsdMetrics, type Metrics } from '../metrics/mod.ts';
-import { HttpSource } from '../configuration/mod.ts';
-import type { Settings } from '../settings/mod.ts';
+import { HttpSource, type DocumentSource } from '../configuration/mod.ts';
+import { PlatformDialect, StoreClient, StoreSource } from '../platform/mod.ts';
+import { PlatformKind, type Settings } from '../settings/mod.ts';
 import { RealTimer, type Subscription, type TimerService } from '../timer/mod.ts';
 import { Daemon } from './daemon.ts';
 
@@ -30,7 +33,7 @@
   readonly daemon: Daemon;
   readonly #servers: { callers: CallerServer; peers: PeerServer; operators: OperatorServer };
   readonly #target: TargetClient;
-  readonly #platform: HttpSource;
+  readonly #platform: ClosableSource;
   readonly #metrics: Metrics;
   readonly #gauges: Subscription;
 
@@ -39,7 +42,7 @@
     servers: { callers: CallerServer; peers: PeerServer; operators: OperatorServer },
     parts: {
       target: TargetClient;
-      platform: HttpSource;
+      platform: ClosableSource;
       metrics: Metrics;
       gauges: Subscription;
     },
@@ -63,14 +66,16 @@
     log,
   }: DaemonProcessOptions): Promise<Result<DaemonProcess, ListenError[]>> {
     const timer = new RealTimer();
-    const target = new TargetClient(settings.target.url, settings.target);
-    const platform = new HttpSource(settings.platform.url);
+    const { dialect, source: platform } = connectPlatform(settings, log);
+    const target = new TargetClient(settings.target.url, { ...settings.target, dialect });
     const metrics = makeMetrics(settings);
     const dialer = new WsDialer();
     const daemon = new Daemon({ settings, timer, log, dialer, platform, target });
     const listening = await Promise.all([
       CallerServer.listen({
         ...settings.callers,
+        dialect,
+        isLeaving: () => daemon.stage === LifeStage.Leaving,
         serve: (req) => serveMeasured(daemon, req, { timer, metrics }),
       }),
       PeerServer.listen({ ...settings.peers, serve: (channel) => daemon.accept(channel) }),
@@ -115,6 +120,32 @@
   }
 }
 
+/** Reads from the platform until it is closed. */
+interface ClosableSource extends DocumentSource {
+  close(): Promise<void>;
+}
+
+function connectPlatform(
+  { platform, callers, peers }: Settings,
+  log: EventLog,
+): { dialect: HttpDialect; source: ClosableSource } {
+  const { url, kind, regions, retryPercent } = platform;
+  switch (kind) {
+    case PlatformKind.Documents:
+      return { dialect: new OwnDialect(), source: new HttpSource(url) };
+    case PlatformKind.Store:
+      return {
+        dialect: new PlatformDialect(),
+        source: new StoreSource({
+          client: new StoreClient(url),
+          log,
+          ports: { callers: callers.port, peers: peers.port },
+          rules: { regions, retryPercent },
+        }),
+      };
+  }
+}
+
 function makeMetrics({ metrics, instance }: Settings): Metrics {
   return metrics ? new StatsdMetrics({ ...metrics, instanceId: instance.id }) : new NoMetrics();
 }
--- a/daemon/main.ts
+++ b/daemon/main.ts
@@ -13,8 +13,10 @@
 cli
   .command('', 'Runs the daemon beside one target')
   .option('--settings <file>', 'Settings in JSON with comments; "-" reads standard input')
-  .action(async (options: { settings?: string }) => {
-    await run(options.settings);
+  .option('--settings-from <variable>', 'Environment variable that holds the path of the settings')
+  .action(async (options: { settings?: string; settingsFrom?: string }) => {
+    const { settings, settingsFrom } = options;
+    await run(settings ?? process.env[settingsFrom ?? '']);
   });
 cli.help();
 cli.parse();
--- a/daemon/world_view.ts
+++ b/daemon/world_view.ts
@@ -25,6 +25,8 @@
   readonly store: DocumentStore;
   /** Where the daemon stands in its life. */
   stage = LifeStage.Starting;
+  /** Whether a daemon that leaves still takes calls, so that callers can turn away. */
+  isLameDuck = false;
   readonly #options: WorldViewOptions;
   #configuration: Configuration | undefined;
   #fleet = new Fleet(0, []);
@@ -96,7 +98,7 @@
 
   /** @returns Why the daemon accepts no calls now, if so. */
   objectionToCall(): Refusal | undefined {
-    if (this.stage === LifeStage.Live) return undefined;
+    if (this.stage === LifeStage.Live || this.isLameDuck) return undefined;
     if (this.isLeaving) return notRun(RefusalReason.Leaving, 'the daemon is leaving');
     return notRun(RefusalReason.NotReady, 'the daemon has not learned the versions in force');
   }
@@ -114,7 +116,7 @@
     if (objection) return objection;
     // The route may have been bound to regions since the sender decided.
     const route = this.routes.byName(call.route.workspace, call.route.name);
-    if (route?.pool !== pool) {
+    if (!route?.pools.some((share) => share.pool === pool)) {
       return notRun(RefusalReason.UnknownRoute, `pool "${pool}" does not serve the route`);
     }
     if (!route.homeRegions.permits(this.region)) {
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -6,8 +6,10 @@
   Repeatability,
   ReplayableBody,
   WholeBody,
+  hasReachedTarget,
   isNotRun,
   notRun,
+  runsAtMostOnce,
   unknown,
   type Answer,
   type Attempt,
@@ -42,6 +44,10 @@
 /** Hedged attempts per hundred calls; apart from retries, which must not be starved by them. */
 const HEDGE_PERCENT = 2;
 const SERVER_ERROR_STATUS = 500;
+/** Guards that may refuse one call before it is refused as a whole; bounds the time until then. */
+const MAX_GUARD_REFUSALS = 4;
+/** Longest time spent on learning the end of a keyless call whose link broke, in milliseconds. */
+const KEYLESS_SETTLE_MS = 1_000;
 
 /** The world as a daemon sees it at one moment. */
 export interface Scene {
@@ -71,6 +77,22 @@
    * @param instance Instance of that target.
    */
   onCrash: (call: Call, fingerprint: string, instance: Instance) => void;
+  /** @returns Further attempts of each pool that may be made in a burst. */
+  retryBurst?: () => number;
+}
+
+/** What the attempts of one call have shown so far. */
+interface Course {
+  /** Names of instances that were tried. */
+  excluded: Set<string>;
+  /** Attempts that arrived at a target. */
+  reached: number;
+  /** Attempts that a guard refused. */
+  refused: number;
+  mayHaveRun: boolean;
+  last: Refusal | undefined;
+  /** An answer that is given if no better one can be had. */
+  failed: Answer | undefined;
 }
 
 interface Try {
@@ -79,6 +101,12 @@
   port: PeerPort;
 }
 
+/** What bounds the further attempts of a call. */
+interface Allowance {
+  course: Course;
+  budget: RetryBudget;
+}
+
 /** The state of one call between its attempts. */
 interface Turn {
   fingerprint: string | undefined;
@@ -98,6 +126,7 @@
     this.#options = options;
     this.#budgets = new PoolBudgets(
       (pool) => options.scene().pool(pool)?.retryPercent ?? DEFAULT_RETRY_PERCENT,
+      options.retryBurst,
     );
     this.#hedges = new PoolBudgets(() => HEDGE_PERCENT);
   }
@@ -110,45 +139,54 @@
    * @returns Its answer, or a refusal that says whether it may have run.
    */
   async dispatch(call: Call, fingerprint: string | undefined): Promise<Result<Answer, Refusal>> {
-    const budget = this.#budgets.of(call.route.pool);
+    const budget = this.#budgets.of(call.pool);
     budget.recordCall();
-    const excluded = new Set<string>();
-    let mayHaveRun = false;
-    let last: Refusal | undefined;
-    let failed: Answer | undefined;
+    const course: Course = {
+      excluded: new Set<string>(),
+      reached: 0,
+      refused: 0,
+      mayHaveRun: false,
+      last: undefined,
+      failed: undefined,
+    };
     for (;;) {
-      const decided = this.#decide(call, fingerprint, excluded);
-      if (decided.isErr()) {
-        if (failed) return ok(failed);
-        return err(conclude(moreTelling(last, decided.error), mayHaveRun));
-      }
-      const decision = decided.value;
-      excluded.add(decision.instance.id);
-      const result = call.route.hedge
-        ? await this.#tryHedged(call, decision, {
-            fingerprint,
-            excluded,
-            hedges: this.#hedges.of(call.route.pool),
-          })
-        : await this.#try(call, decision, fingerprint);
+      const decided = this.#decide(call, fingerprint, course.excluded);
+      if (decided.isErr()) return conclude(course, moreTelling(course.last, decided.error));
+      const result = await this.#tryOnce(call, decided.value, { fingerprint, course });
       if (result.isOk()) {
-        if (!this.#isWorthAnother(call, result.value, budget)) return ok(result.value);
-        failed = result.value;
+        course.reached += 1;
+        if (!this.#isWorthAnother(call, result.value, { course, budget })) return ok(result.value);
+        course.failed = result.value;
         continue;
       }
-      const { kind, refusal } = result.error;
-      mayHaveRun ||= !isNotRun(kind);
-      last = refusal;
-      const mayRepeat = isRepeatable(call, result.error) && budget.tryTake();
-      if (!mayRepeat) return failed ? ok(failed) : err(conclude(refusal, mayHaveRun));
+      recordFailure(course, result.error);
+      if (!mayRepeat(call, result.error, { course, budget })) {
+        return conclude(course, result.error.refusal);
+      }
     }
   }
 
+  #tryOnce(
+    call: Call,
+    decision: Decision,
+    { fingerprint, course }: { fingerprint: string | undefined; course: Course },
+  ): Promise<AttemptResult> {
+    const { excluded } = course;
+    excluded.add(decision.instance.id);
+    if (!call.route.hedge) return this.#try(call, decision, fingerprint);
+    return this.#tryHedged(call, decision, {
+      fingerprint,
+      excluded,
+      hedges: this.#hedges.of(call.pool),
+    });
+  }
+
   /** A server error of an idempotent call may be the target's own; another one is tried. */
-  #isWorthAnother(call: Call, answer: Answer, budget: RetryBudget): boolean {
+  #isWorthAnother(call: Call, answer: Answer, { course, budget }: Allowance): boolean {
     if (answer.status < SERVER_ERROR_STATUS || !(answer.body instanceof WholeBody)) return false;
-    if (call.route.repeatability === Repeatability.NonIdempotent) return false;
+    if (runsAtMostOnce(call.route)) return false;
     if (call.body instanceof ReplayableBody && call.body.isSpent) return false;
+    if (course.reached >= call.route.maxAttempts) return false;
     return !call.signal.aborted && !call.deadline.hasPassed && budget.tryTake();
   }
 
@@ -174,7 +212,11 @@
 
   #choose(call: Call, excluded: ReadonlySet<string>): Result<Decision, Refusal> {
     const { fleet, geography, configurationVersion } = this.#options.scene();
-    const chosen = this.#options.placement.choose(call.route, { fleet, geography, excluded });
+    const chosen = this.#options.placement.choose(call.route, call.pool, {
+      fleet,
+      geography,
+      excluded,
+    });
     if (chosen.isOk()) this.#logDecision(call, chosen.value, configurationVersion);
     return chosen;
   }
@@ -228,17 +270,22 @@
     if (load) view.recordLoad(load, this.#options.timer.now() - startMs);
     finish(signOf(attempt.call, result));
     const isLost = result.isErr() && result.error.kind === FailureKind.Lost;
-    if (!isLost || attempt.call.route.repeatability === Repeatability.Idempotent) return result;
+    const { route, deadline } = attempt.call;
+    if (!isLost || !runsAtMostOnce(route)) return result;
     const { timer, log, peers } = this.#options;
-    return settleAttempt(attempt, { timer, log, peers, instance: decision.instance, port });
+    const isKeyless = route.repeatability === Repeatability.Keyless;
+    const timeoutMs = isKeyless ? Math.min(deadline.leftMs, KEYLESS_SETTLE_MS) : undefined;
+    const { instance } = decision;
+    return settleAttempt(attempt, { timer, log, peers, instance, port, timeoutMs });
   }
 
-  /** A non-idempotent attempt without an answer in time is settled; others end by their deadline. */
+  /** An attempt that runs at most once counts as lost without an answer in time; others end by their deadline. */
   #answerOf(attempt: Attempt, port: PeerPort): Promise<AttemptResult> {
     const sent = port.send(attempt);
     const { route, deadline } = attempt.call;
-    if (route.repeatability === Repeatability.Idempotent) return sent;
-    const timeoutMs = deadline.leftMs + SILENCE_GRACE_MS;
+    if (!runsAtMostOnce(route)) return sent;
+    const isKeyless = route.repeatability === Repeatability.Keyless;
+    const timeoutMs = deadline.leftMs + (isKeyless ? 0 : SILENCE_GRACE_MS);
     return withTimeout(sent, this.#options.timer, timeoutMs);
   }
 
@@ -268,7 +315,7 @@
     this.#options.log.write(Event.Decision, {
       call: call.id,
       route: route.name,
-      pool: route.pool,
+      pool: call.pool,
       choice: decision.instance.id,
       reason: decision.reason,
       proximity,
@@ -289,13 +336,26 @@
   return Math.round(value * 100) / 100;
 }
 
+function recordFailure(course: Course, failure: AttemptFailure): void {
+  course.mayHaveRun ||= !isNotRun(failure.kind);
+  course.last = failure.refusal;
+  if (hasReachedTarget(failure)) course.reached += 1;
+  else course.refused += 1;
+}
+
+/** An attempt that reached its target costs the target work; one that a guard refused does not. */
+function mayRepeat(call: Call, failure: AttemptFailure, { course, budget }: Allowance): boolean {
+  if (!isRepeatable(call, failure) || course.refused > MAX_GUARD_REFUSALS) return false;
+  if (!hasReachedTarget(failure)) return true;
+  return course.reached < call.route.maxAttempts && budget.tryTake();
+}
+
 function isRepeatable(call: Call, failure: AttemptFailure): boolean {
   if (call.signal.aborted || call.deadline.hasPassed) return false;
   if (failure.refusal.reason === RefusalReason.Quarantined) return false;
   if (failure.refusal.reason === RefusalReason.BodyCut) return false;
   if (call.body instanceof ReplayableBody && call.body.isSpent) return false;
-  if (isNotRun(failure.kind)) return true;
-  return call.route.repeatability === Repeatability.Idempotent;
+  return isNotRun(failure.kind) || !runsAtMostOnce(call.route);
 }
 
 /** That no target is left tells less than why the last one failed. */
@@ -304,8 +364,9 @@
 }
 
 /** An earlier attempt that may have run makes the whole call's outcome unknown. */
-function conclude(refusal: Refusal, mayHaveRun: boolean): Refusal {
-  return mayHaveRun ? unknown(refusal.reason, refusal.detail) : refusal;
+function conclude(course: Course, refusal: Refusal): Result<Answer, Refusal> {
+  if (course.failed) return ok(course.failed);
+  return err(course.mayHaveRun ? unknown(refusal.reason, refusal.detail) : refusal);
 }
 
 function signOf(call: Call, result: AttemptResult): AttemptSign {
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -12,6 +12,7 @@
   limitBody,
   notRun,
   parseDeadlineMs,
+  runsAtMostOnce,
   unknown,
   type Answer,
   type Body,
@@ -23,6 +24,7 @@
 } from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
 import type { KeyOwner } from '../idempotency/mod.ts';
+import type { RandomSource } from '../random/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 import type { Dispatcher, Scene } from './dispatcher.ts';
 import type { KeyRelay } from './key_relay.ts';
@@ -31,11 +33,15 @@
 const MAX_DEPTH = 32;
 /** Bodies up to this size are read into memory before the first attempt, in bytes. */
 const SMALL_BODY_BYTES = 65_536;
+/** Steps in which the shares of a route's pools are drawn. */
+const SHARE_STEPS = 1_000_000;
 /** Addresses that a refusal names at most. */
 const MAX_ADDRESSES = 4;
 
 /** A call as it arrives, before anything is known about it. */
 export interface CallerRequest {
+  /** Identifier that the caller gave the call, if it did. */
+  callId: string | undefined;
   workspace: string | undefined;
   host: string;
   method: string;
@@ -63,6 +69,14 @@
   nextKey: string | undefined;
 }
 
+/** What an entry outside a call's home regions does with it. */
+export enum ForeignEntry {
+  /** Refuses it and names daemons inside; nothing of the call leaves the entry. */
+  Refuse = 'refuse',
+  /** Sends it into the home regions, since its caller can reach no other entry. */
+  Forward = 'forward',
+}
+
 /** What an {@linkcode Entry} needs. */
 export interface EntryOptions {
   timer: TimerService;
@@ -70,6 +84,10 @@
   dispatcher: Dispatcher;
   owner: KeyOwner;
   relay: KeyRelay;
+  /** Pool of the daemon's own instance. */
+  pool: string;
+  random: RandomSource;
+  foreignEntry: ForeignEntry;
   /** Region that the daemon stands in. */
   region: () => string | undefined;
   routes: () => RouteTable;
@@ -101,7 +119,7 @@
    */
   async serve(req: CallerRequest): Promise<CallerReply> {
     this.#open += 1;
-    const callId = randomUUID();
+    const callId = req.callId ?? randomUUID();
     const startMs = this.#options.timer.now();
     const admitted = this.#admit(req, callId);
     const result = admitted.isErr()
@@ -141,6 +159,8 @@
       parseDepth(req.depth).map((depth) => ({
         id,
         route,
+        pool: this.#choosePool(route),
+        callerPool: this.#options.pool,
         method,
         target,
         headers,
@@ -154,7 +174,19 @@
     );
   }
 
+  #choosePool({ pools }: Route): string {
+    if (pools.length <= 1) return pools[0]?.pool ?? '';
+    const total = pools.reduce((sum, { weight }) => sum + weight, 0);
+    let left = (this.#options.random.below(SHARE_STEPS) / SHARE_STEPS) * total;
+    for (const { pool, weight } of pools) {
+      left -= weight;
+      if (left < 0) return pool;
+    }
+    return pools[0]?.pool ?? '';
+  }
+
   #checkHome(route: Route): Result<Route, Refusal> {
+    if (this.#options.foreignEntry === ForeignEntry.Forward) return ok(route);
     const region = this.#options.region();
     if (route.homeRegions.permits(region)) return ok(route);
     const addresses = this.#addressesFor(route);
@@ -225,8 +257,7 @@
     call: Call,
     fingerprint: string | undefined,
   ): Promise<Result<Answer, Refusal>> {
-    const isIdempotent = call.route.repeatability === Repeatability.Idempotent;
-    const expiry = isIdempotent
+    const expiry = !runsAtMostOnce(call.route)
       ? this.#options.timer.after(call.deadline.leftMs, call.giveUp)
       : undefined;
     const result = await this.#options.dispatcher.dispatch(call, fingerprint);
@@ -238,7 +269,7 @@
   #nextKey(admitted: Result<Call, Refusal>, result: Result<Answer, Refusal>): string | undefined {
     if (admitted.isErr()) return undefined;
     const { route } = admitted.value;
-    if (route.repeatability === Repeatability.Idempotent) return undefined;
+    if (route.repeatability !== Repeatability.NonIdempotent) return undefined;
     const given = result.isErr() ? result.error.nextKey : undefined;
     return given ?? this.#options.owner.issue(route);
   }
--- a/entry/pool_budgets.ts
+++ b/entry/pool_budgets.ts
@@ -3,11 +3,16 @@
 /** One budget of further attempts for each pool. */
 export class PoolBudgets {
   readonly #percentOf: (pool: string) => number;
+  readonly #burst: (() => number) | undefined;
   readonly #budgets = new Map<string, RetryBudget>();
 
-  /** @param percentOf Gives the further attempts per hundred calls of a pool. */
-  constructor(percentOf: (pool: string) => number) {
+  /**
+   * @param percentOf Gives the further attempts per hundred calls of a pool.
+   * @param burst Gives the further attempts that may be made in a burst.
+   */
+  constructor(percentOf: (pool: string) => number, burst?: () => number) {
     this.#percentOf = percentOf;
+    this.#burst = burst;
   }
 
   /**
@@ -17,7 +22,7 @@
   of(pool: string): RetryBudget {
     let budget = this.#budgets.get(pool);
     if (!budget) {
-      budget = new RetryBudget(this.#percentOf(pool));
+      budget = new RetryBudget(this.#percentOf(pool), { burst: this.#burst });
       this.#budgets.set(pool, budget);
     }
     return budget;
--- a/entry/settle_attempt.ts
+++ b/entry/settle_attempt.ts
@@ -29,6 +29,8 @@
   instance: Instance;
   /** The way by which the attempt was sent. */
   port: PeerPort;
+  /** Longest time to spend, in milliseconds. */
+  timeoutMs?: number;
 }
 
 /**
@@ -45,7 +47,7 @@
 ): Promise<AttemptResult> {
   const { timer, log, instance, port } = options;
   const { sender, sequence, call } = attempt;
-  const deadline = new Deadline(timer, SETTLE_TIMEOUT_MS);
+  const deadline = new Deadline(timer, options.timeoutMs ?? SETTLE_TIMEOUT_MS);
   let result: AttemptResult = err(lost('the executor could not be reached'));
   while (!deadline.hasPassed) {
     const opened = await options.peers.open(instance);
@@ -55,8 +57,9 @@
     }
     if (opened.isOk()) {
       const id = { sender, sequence };
-      const asked = opened.value.settle(id, new Deadline(timer, TRY_TIMEOUT_MS));
-      result = await withTimeout(asked, timer, TRY_TIMEOUT_MS);
+      const tryMs = Math.min(TRY_TIMEOUT_MS, deadline.leftMs);
+      const asked = opened.value.settle(id, new Deadline(timer, tryMs));
+      result = await withTimeout(asked, timer, tryMs);
       if (result.isOk() || isFinal(result.error.kind)) break;
     }
     await sleep(timer, RETRY_DELAY_MS);
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,17 @@
 const transports = ['ws', 'hono', 'undici', 'msgpackr', '@hono/node-server'];
 
 export default tseslint.config(
-  { ignores: ['dist/', 'target/', 'node_modules/', '.tap/', 'tap-snapshots/', 'eslint.config.js'] },
+  {
+    ignores: [
+      'dist/',
+      'target/',
+      'node_modules/',
+      '.tap/',
+      'tap-snapshots/',
+      'eslint.config.js',
+      'tooling/bundle.js',
+    ],
+  },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- a/event_log/event.ts
+++ b/event_log/event.ts
@@ -15,6 +15,7 @@
   ConfigurationApplied = 'configuration-applied',
   ConfigurationRejected = 'configuration-rejected',
   PlatformUnreachable = 'platform-unreachable',
+  EntryUnreadable = 'entry-unreadable',
   TargetColdStart = 'target-cold-start',
   TargetWarm = 'target-warm',
   FingerprintQuarantined = 'fingerprint-quarantined',
--- a/fakes/fake_target.ts
+++ b/fakes/fake_target.ts
@@ -2,6 +2,8 @@
 import { WholeBody, collectBody, type Body, type BodyChunk } from '../contract/mod.ts';
 import {
   TargetFailureKind,
+  HEALTHY,
+  type ProbeReport,
   type TargetAnswer,
   type TargetFailure,
   type TargetPort,
@@ -76,10 +78,10 @@
     return result;
   }
 
-  async probe(): Promise<boolean> {
+  async probe(): Promise<ProbeReport | undefined> {
     this.probes += 1;
     await sleep(this.#options.timer, 1);
-    return this.isUp;
+    return this.isUp ? HEALTHY : undefined;
   }
 
   /** Ends the process and, later, starts it anew. */
@@ -132,8 +134,16 @@
   }
 
   #answer(status: number, body: Body): TargetAnswer {
-    const incarnation = `${this.#options.name}/${this.#starts}`;
-    return { status, headers: [], body, load: undefined, incarnation, shed: false };
+    const targetId = `${this.#options.name}/${this.#starts}`;
+    return {
+      status,
+      headers: [],
+      body,
+      load: undefined,
+      targetId,
+      shed: false,
+      reported: undefined,
+    };
   }
 }
 
--- a/fakes/world.ts
+++ b/fakes/world.ts
@@ -193,6 +193,7 @@
     const { daemon, ended } = this.member(id);
     const caller = call.caller ?? new AbortController();
     const reply = daemon.serve({
+      callId: undefined,
       workspace: call.workspace ?? 'plata',
       host: 'localhost',
       method: call.method ?? 'GET',
@@ -314,7 +315,7 @@
       await clock.whenRunning();
       return result;
     },
-    probe: () => (ended.aborted ? Promise.resolve(false) : target.probe()),
+    probe: () => (ended.aborted ? Promise.resolve(undefined) : target.probe()),
   };
 }
 
--- a/guard/gate.ts
+++ b/guard/gate.ts
@@ -20,6 +20,8 @@
   readonly queueWaitMs: number;
   /** Expected time of one execution, in milliseconds. */
   readonly serviceMs: number;
+  /** Called with each call that is admitted. */
+  readonly onAdmit?: () => void;
 }
 
 interface Waiting extends Applicant {
@@ -61,7 +63,7 @@
    */
   async enter(applicant: Applicant): Promise<Result<void, Refusal>> {
     if (this.#inFlight < this.#bounds().limit && this.#waiting.length === 0) {
-      this.#inFlight += 1;
+      this.#admit();
       return ok(undefined);
     }
     if (!this.#canWait(applicant)) return err(this.#busy());
@@ -81,7 +83,7 @@
     while (this.#inFlight < this.#bounds().limit) {
       const next = this.#takeNext();
       if (!next) return;
-      this.#inFlight += 1;
+      this.#admit();
       next.resolve(ok(undefined));
     }
   }
@@ -95,6 +97,11 @@
     for (const waiting of this.#waiting.splice(0)) this.#finish(waiting, err(refusal));
   }
 
+  #admit(): void {
+    this.#inFlight += 1;
+    this.#bounds().onAdmit?.();
+  }
+
   #canWait(applicant: Applicant): boolean {
     const { limit, queueLength, serviceMs } = this.#bounds();
     const ahead = this.#waiting.filter((each) => each.weight >= applicant.weight).length;
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -9,6 +9,7 @@
   abandonBody,
   collectBody,
   notRun,
+  runsAtMostOnce,
   unknown,
   watchBody,
   type Answer,
@@ -45,7 +46,14 @@
 const NON_IDEMPOTENT_GRACE_MS = 30_000;
 /** Server errors begin at this status. */
 const SERVER_ERROR_STATUS = 500;
-const PROBE_PERIOD_MS = 1_000;
+/** Time between two probes of a target that is down or cold, in milliseconds. */
+const URGENT_PROBE_PERIOD_MS = 250;
+/** Time between two looks at whether a probe is due, in milliseconds. */
+const TICK_MS = 100;
+/** Time between two probes of a target that is down where no period is set, in milliseconds. */
+const DOWN_PROBE_PERIOD_MS = 1_000;
+/** Time beyond its deadline after which a keyless call is ended, in milliseconds. */
+const KEYLESS_GRACE_MS = 250;
 
 /** When an attempt is looked at. */
 export enum AdmissionPhase {
@@ -63,6 +71,10 @@
   port: TargetPort;
   limitKind: LimitKind;
   quarantine: Quarantine;
+  /** Time between two probes of the target; only one that is down is probed if absent. */
+  probePeriodMs: number | undefined;
+  /** @returns Calls that the target runs at once, if the instance list tells it. */
+  slots: () => number | undefined;
   /** @returns The rules in force for the target's pool, if the configuration has them. */
   pool: () => Pool | undefined;
   /**
@@ -89,23 +101,26 @@
   readonly #probing: Subscription;
   #slots: number;
   #overload = 0;
+  #isProbing = false;
+  #probedAtMs = -Infinity;
 
   /** @param options See {@linkcode GuardOptions}. */
   constructor(options: GuardOptions) {
     this.#options = options;
     this.#timer = options.timer;
-    const pool = options.pool();
-    this.#slots = pool?.slots ?? 1;
+    this.#slots = this.#slotsInForce();
     this.#limit = makeLimit(options.limitKind, this.#slots);
     this.#warmUp = new WarmUp(options.timer, () => ({
       coldSlots: options.pool()?.coldSlots ?? 1,
       coldMs: options.pool()?.coldMs ?? 0,
+      coldPerSecond: options.pool()?.coldPerSecond,
     }));
     this.#health = new TargetHealth(options.log, this.#warmUp);
     this.#gate = new Gate(options.timer, () => this.#bounds());
     this.#ledger = new AttemptLedger(options.timer);
-    this.#probing = options.timer.every(PROBE_PERIOD_MS, () => {
-      void this.#probeIfDown();
+    this.#probing = options.timer.every(this.#tickMs, () => {
+      void this.#probeIfDue();
+      this.#gate.admitWaiting();
     });
   }
 
@@ -133,8 +148,7 @@
   async send(attempt: Attempt): Promise<AttemptResult> {
     const objection = this.#objectionTo(attempt, AdmissionPhase.Arriving);
     if (objection) return this.#fail(FailureKind.Refused, objection);
-    const isKept = attempt.call.route.repeatability === Repeatability.NonIdempotent;
-    return isKept ? this.#runOnce(attempt) : this.#admit(attempt);
+    return runsAtMostOnce(attempt.call.route) ? this.#runOnce(attempt) : this.#admit(attempt);
   }
 
   settle(id: AttemptId, deadline: Deadline): Promise<AttemptResult> {
@@ -153,7 +167,7 @@
 
   /** Takes a changed configuration of the pool into account. */
   refresh(): void {
-    const slots = this.#options.pool()?.slots ?? 1;
+    const slots = this.#slotsInForce();
     if (slots === this.#slots) return;
     this.#slots = slots;
     this.#limit = makeLimit(this.#options.limitKind, slots);
@@ -241,17 +255,28 @@
       this.#gate.leave();
       return this.#fail(
         FailureKind.Refused,
-        notRun(RefusalReason.TargetBusy, 'the target shed the call'),
+        notRun(RefusalReason.TargetShed, 'the target shed the call'),
       );
     }
     return ok(this.#releaseAfter(result.value));
   }
 
   async #runTarget({ call }: Attempt): Promise<Result<TargetAnswer, TargetFailure>> {
-    const { method, target, headers, body } = call;
+    const { id: callId, callerPool, method, target, headers, body } = call;
     const { leftMs } = call.deadline;
     const { signal, expiry } = this.#executionLimit(call);
-    const result = await this.#options.port.run({ method, target, headers, body, leftMs, signal });
+    const { targetId } = this.#health;
+    const result = await this.#options.port.run({
+      callId,
+      callerPool,
+      targetId,
+      method,
+      target,
+      headers,
+      body,
+      leftMs,
+      signal,
+    });
     expiry.cancel();
     return result;
   }
@@ -263,7 +288,9 @@
       return { signal: call.signal, expiry: this.#timer.after(leftMs, call.giveUp) };
     }
     const controller = new AbortController();
-    const expiry = this.#timer.after(leftMs + NON_IDEMPOTENT_GRACE_MS, () => {
+    const isKeyless = call.route.repeatability === Repeatability.Keyless;
+    const graceMs = isKeyless ? KEYLESS_GRACE_MS : NON_IDEMPOTENT_GRACE_MS;
+    const expiry = this.#timer.after(leftMs + graceMs, () => {
       controller.abort();
     });
     return { signal: controller.signal, expiry };
@@ -281,7 +308,9 @@
     if (attempt.fingerprint !== undefined)
       this.#options.quarantine.recordAnswer(attempt.fingerprint);
     const succeeded = result.value.status < SERVER_ERROR_STATUS;
-    this.#health.recordAnswer(result.value.incarnation);
+    const { targetId, shed } = result.value;
+    this.#health.recordAnswer(targetId);
+    if (shed) return;
     this.#clock.record(elapsedMs);
     this.#limit.record({ elapsedMs, inFlight, succeeded });
     const inTime = succeeded && !attempt.call.deadline.hasPassed;
@@ -297,6 +326,7 @@
         this.#suspect(attempt);
         this.#health.recordBroken();
         break;
+      case TargetFailureKind.Garbled:
       case TargetFailureKind.RequestCut:
         break;
       case TargetFailureKind.Cancelled:
@@ -335,7 +365,7 @@
   }
 
   #currentLimit(): number {
-    return this.#warmUp.limit(this.#limit.current);
+    return this.#warmUp.limit(this.#limit.current, this.#gate.inFlight);
   }
 
   #bounds(): GateBounds {
@@ -345,12 +375,36 @@
       queueLength: pool?.queueLength ?? 0,
       queueWaitMs: pool?.queueWaitMs ?? 0,
       serviceMs: this.#clock.meanMs,
+      onAdmit: () => {
+        this.#warmUp.recordStart();
+      },
     };
   }
 
-  async #probeIfDown(): Promise<void> {
-    if (!this.#health.isDown) return;
-    if (await this.#options.port.probe()) this.#health.recordProbe();
+  #slotsInForce(): number {
+    return this.#options.slots() ?? this.#options.pool()?.slots ?? 1;
+  }
+
+  get #tickMs(): number {
+    return this.#options.probePeriodMs === undefined ? DOWN_PROBE_PERIOD_MS : TICK_MS;
+  }
+
+  async #probeIfDue(): Promise<void> {
+    if (this.#isProbing || this.#timer.now() - this.#probedAtMs < this.#probeDelayMs) return;
+    this.#isProbing = true;
+    this.#probedAtMs = this.#timer.now();
+    const report = await this.#options.port.probe(this.#options.pool()?.healthPath);
+    this.#isProbing = false;
+    if (report || this.#options.probePeriodMs !== undefined) this.#health.recordProbe(report);
+    this.#gate.admitWaiting();
+  }
+
+  /** Time from the last probe to the next one; infinite if none is wanted. */
+  get #probeDelayMs(): number {
+    const { probePeriodMs } = this.#options;
+    if (probePeriodMs === undefined) return this.#health.isDown ? 0 : Infinity;
+    const isUrgent = this.#health.stage(this.#limit.current) !== TargetStage.Warm;
+    return isUrgent ? Math.min(probePeriodMs, URGENT_PROBE_PERIOD_MS) : probePeriodMs;
   }
 }
 
--- a/guard/target_health.ts
+++ b/guard/target_health.ts
@@ -1,16 +1,21 @@
 import { TargetStage } from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
+import type { ProbeReport } from './target_port.ts';
 import type { WarmUp } from './warm_up.ts';
 
+/** Probes in a row without an answer after which a target counts as down. */
+const SILENT_PROBES_LIMIT = 2;
+
 /**
- * Follows the target's starts from what its connections and answers show:
- * a broken or refused connection, or another process name in an answer.
+ * Follows the target's starts from what its connections, answers and probes
+ * show: a broken or refused connection, or another run's name.
  */
 export class TargetHealth {
   readonly #log: EventLog;
   readonly #warmUp: WarmUp;
   #isDown = false;
-  #incarnation: string | undefined;
+  #silentProbes = 0;
+  #targetId: string | undefined;
 
   /**
    * @param log Receives an event for each cold start.
@@ -26,6 +31,11 @@
     return this.#isDown;
   }
 
+  /** @returns Name of the target's present run, if it has said so. */
+  get targetId(): string | undefined {
+    return this.#targetId;
+  }
+
   /**
    * @param warmLimit Limit of a warm target.
    * @returns The target's stage.
@@ -35,13 +45,14 @@
     return this.#warmUp.isCold(warmLimit) ? TargetStage.Cold : TargetStage.Warm;
   }
 
-  /** @param incarnation Name of the target's process in an answer, if it gave one. */
-  recordAnswer(incarnation: string | undefined): void {
+  /** @param targetId Name of the target's run in an answer, if it gave one. */
+  recordAnswer(targetId: string | undefined): void {
     this.#isDown = false;
-    if (incarnation === undefined || incarnation === this.#incarnation) return;
-    const isRestart = this.#incarnation !== undefined;
-    this.#incarnation = incarnation;
-    if (isRestart) this.#restart('incarnation');
+    this.#silentProbes = 0;
+    if (targetId === undefined || targetId === this.#targetId) return;
+    const isRestart = this.#targetId !== undefined;
+    this.#targetId = targetId;
+    if (isRestart) this.#restart('run');
   }
 
   /** Notes that the target refused a connection. */
@@ -56,13 +67,19 @@
     this.#restart('broken');
   }
 
-  /** Notes that a probe of a target that was down succeeded. */
-  recordProbe(): void {
-    this.#isDown = false;
+  /** @param report What a probe has shown; nothing if it got no answer. */
+  recordProbe(report: ProbeReport | undefined): void {
+    if (!report) {
+      this.#silentProbes += 1;
+      if (this.#silentProbes >= SILENT_PROBES_LIMIT) this.recordNotSent();
+      return;
+    }
+    this.recordAnswer(report.targetId);
+    if (report.coldMs !== undefined) this.#warmUp.coldFor(report.coldMs);
   }
 
   #restart(sign: string): void {
     this.#warmUp.restart();
-    this.#log.write(Event.TargetColdStart, { sign });
+    this.#log.write(Event.TargetColdStart, { sign, target: this.#targetId });
   }
 }
--- a/instance/fleet.ts
+++ b/instance/fleet.ts
@@ -26,6 +26,11 @@
     return [...this.#byId.values()];
   }
 
+  /** @returns Number of instances. */
+  get size(): number {
+    return this.#byId.size;
+  }
+
   /**
    * @param id Name of an instance.
    * @returns The instance, if the list names it.
--- a/instance/instance.ts
+++ b/instance/instance.ts
@@ -20,4 +20,8 @@
   /** `host:port` where its daemon accepts calls. */
   callerAddress: string;
   stage: LifeStage;
+  /** Name of the target's present run, if the platform's list tells it. */
+  targetId?: string;
+  /** Calls that its target runs at once, if the platform's list tells it. */
+  slots?: number;
 }
--- a/link/call_frames.ts
+++ b/link/call_frames.ts
@@ -29,6 +29,8 @@
     callId: call.id,
     workspace: call.route.workspace,
     route: call.route.name,
+    pool: call.pool,
+    callerPool: call.callerPool,
     method: call.method,
     target: call.target,
     headers: flattenHeaders(call.headers),
@@ -68,6 +70,8 @@
   const call: Call = {
     id: frame.callId,
     route,
+    pool: frame.pool,
+    callerPool: frame.callerPool,
     method: frame.method,
     target: frame.target,
     headers: pairHeaders(frame.headers),
--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -5,14 +5,15 @@
 import { err, ok, type Result } from 'neverthrow';
 import {
   EMPTY_BODY,
-  Outcome,
   WholeBody,
   type Body,
   type BodyChunk,
   type Headers as CallHeaders,
 } from '../contract/mod.ts';
 import type { CallerReply, CallerRequest } from '../entry/mod.ts';
-import { HeaderName, endToEnd, pairHeaders } from './headers.ts';
+import { endToEnd, pairHeaders } from './headers.ts';
+import type { HttpDialect } from './http_dialect.ts';
+import { OwnDialect } from './own_dialect.ts';
 import { toProblem } from './problem.ts';
 import type { ListenError } from './listen_error.ts';
 
@@ -20,7 +21,6 @@
 /** Statuses whose answers have no body. */
 const BODILESS_STATUS = new Set([101, 204, 205, 304]);
 /** Headers of the hop between caller and daemon that are not passed to the target. */
-const OWN_HEADERS = new Set<string>([HeaderName.Deadline, HeaderName.Depth]);
 
 /** Options of {@linkcode CallerServer.listen}. */
 export interface CallerServerOptions {
@@ -29,6 +29,10 @@
   port: number;
   /** Serves one call. */
   serve: (req: CallerRequest) => Promise<CallerReply>;
+  /** The headers in which callers speak; the product's own by default. */
+  dialect?: HttpDialect;
+  /** @returns Whether callers should open no further call on a connection. */
+  isLeaving?: () => boolean;
 }
 
 /** Accepts calls over HTTP. */
@@ -44,15 +48,18 @@
    * @returns The server once it listens, or why it cannot.
    */
   static listen(options: CallerServerOptions): Promise<Result<CallerServer, ListenError>> {
+    const dialect = options.dialect ?? new OwnDialect();
     const app = new Hono<{ Bindings: HttpBindings }>();
     app.all('*', async (ctx) => {
       const { incoming, outgoing } = ctx.env;
-      const req = toCallerRequest(incoming, outgoing);
+      const req = toCallerRequest(incoming, outgoing, dialect);
       const cut = () => {
         // A reset, so that no client can take the part that was sent for the whole.
         outgoing.socket?.resetAndDestroy();
       };
-      return toResponse(await options.serve(req), cut);
+      const reply = await options.serve(req);
+      if (options.isLeaving?.()) outgoing.shouldKeepAlive = false;
+      return toResponse(reply, dialect, cut);
     });
     return new Promise((resolve) => {
       const { port, host } = options;
@@ -82,7 +89,11 @@
   }
 }
 
-function toCallerRequest(incoming: IncomingMessage, outgoing: ServerResponse): CallerRequest {
+function toCallerRequest(
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+  dialect: HttpDialect,
+): CallerRequest {
   const { headers } = incoming;
   const text = (name: string) => {
     const value = headers[name];
@@ -93,16 +104,13 @@
     if (!outgoing.writableFinished) controller.abort();
   });
   return {
-    workspace: text(HeaderName.Workspace),
+    ...dialect.readCaller(text),
     host: (headers.host ?? '').replace(/:\d+$/, ''),
     method: incoming.method ?? 'GET',
     target: incoming.url ?? '/',
-    headers: endToEnd(readHeaders(incoming)),
+    headers: endToEnd(readHeaders(incoming, dialect)),
     announcedBytes: announcedBytes(incoming),
     body: hasBody(incoming) ? readBody(incoming) : EMPTY_BODY,
-    deadline: text(HeaderName.Deadline),
-    depth: text(HeaderName.Depth),
-    key: text(HeaderName.IdempotencyKey),
     signal: controller.signal,
     giveUp: () => {
       controller.abort();
@@ -110,10 +118,10 @@
   };
 }
 
-function readHeaders(incoming: IncomingMessage): CallHeaders {
+function readHeaders(incoming: IncomingMessage, { reserved }: HttpDialect): CallHeaders {
   return pairHeaders(incoming.rawHeaders)
     .map(([name, value]): [string, string] => [name.toLowerCase(), value])
-    .filter(([name]) => !OWN_HEADERS.has(name));
+    .filter(([name]) => !reserved.has(name));
 }
 
 function hasBody({ headers }: IncomingMessage): boolean {
@@ -135,15 +143,18 @@
   }
 }
 
-function toResponse({ callId, result, nextKey }: CallerReply, cut: () => void): Response {
-  const own: Record<string, string> = { [HeaderName.CallId]: callId };
-  if (nextKey !== undefined) own[HeaderName.IdempotencyKey] = nextKey;
+function toResponse(
+  { callId, result, nextKey }: CallerReply,
+  dialect: HttpDialect,
+  cut: () => void,
+): Response {
   if (result.isErr()) {
-    const { status, headers, body } = toProblem(result.error, callId);
+    const { status, headers, body } = toProblem(result.error, callId, dialect);
+    const own = dialect.refusalHeaders(callId, { ...result.error, nextKey });
     return new Response(body, { status, headers: { ...own, ...headers } });
   }
   const { status, headers, body } = result.value;
-  own[HeaderName.Outcome] = Outcome.Answered;
+  const own = dialect.answerHeaders(callId, nextKey);
   const content = BODILESS_STATUS.has(status) ? null : toResponseBody(body, cut);
   return new Response(content, { status, headers: mergeHeaders(headers, own) });
 }
--- a/link/frame.ts
+++ b/link/frame.ts
@@ -40,7 +40,7 @@
 }
 
 /** Version of the protocol; daemons of another one are refused. */
-export const PROTOCOL_VERSION = 1;
+export const PROTOCOL_VERSION = 2;
 
 export interface HelloFrame {
   kind: FrameKind.Hello;
@@ -59,6 +59,8 @@
   callId: string;
   workspace: string;
   route: string;
+  pool: string;
+  callerPool: string;
   method: string;
   target: string;
   /** Names and values in turn. */
--- a/link/frame_layout.ts
+++ b/link/frame_layout.ts
@@ -85,6 +85,8 @@
     ['callId', isText],
     ['workspace', isText],
     ['route', isText],
+    ['pool', isText],
+    ['callerPool', isText],
     ['method', isText],
     ['target', isText],
     ['headers', isHeaderList],
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -4,9 +4,9 @@
   FailureKind,
   Leg,
   RefusalReason,
-  Repeatability,
   WholeBody,
   notRun,
+  runsAtMostOnce,
   unknown,
   type Answer,
   type Attempt,
@@ -289,8 +289,8 @@
     const pending = this.#sent.get(stream);
     if (!pending) return;
     this.sendFrame({ kind: FrameKind.Cancel, stream });
-    // A non-idempotent call that runs already goes on; its executor tells how it ended.
-    if (route.repeatability === Repeatability.NonIdempotent) return;
+    // A call that runs at most once goes on if it runs already; its executor tells how it ended.
+    if (runsAtMostOnce(route)) return;
     this.#sent.delete(stream);
     exchange.cut('the caller left');
     pending.resolve(err(lostFailure('the caller left before the answer')));
--- a/link/problem.ts
+++ b/link/problem.ts
@@ -1,5 +1,5 @@
-import { RefusalReason, type Refusal } from '../contract/mod.ts';
-import { HeaderName } from './headers.ts';
+import { Outcome, RefusalReason, type Refusal } from '../contract/mod.ts';
+import type { HttpDialect } from './http_dialect.ts';
 
 /** HTTP status of each kind of refusal. */
 const STATUS: Readonly<Record<RefusalReason, number>> = {
@@ -22,6 +22,7 @@
   [RefusalReason.Leaving]: 503,
   [RefusalReason.NotReady]: 503,
   [RefusalReason.TargetBusy]: 503,
+  [RefusalReason.TargetShed]: 503,
   [RefusalReason.TargetDown]: 503,
   [RefusalReason.NoTarget]: 503,
   [RefusalReason.RetryBudgetSpent]: 503,
@@ -31,7 +32,9 @@
   [RefusalReason.AnswerLost]: 502,
 };
 
-const MS_PER_SECOND = 1_000;
+/** Status of a call that may have run; 503 would say that it has not. */
+const UNKNOWN_STATUS = 502;
+const PROMISES_NOT_RUN = new Set([408, 421, 429, 503]);
 
 /** An RFC 9457 problem document with its status and headers. */
 export interface Problem {
@@ -43,19 +46,20 @@
 /**
  * @param refusal The refusal.
  * @param callId Identifier of the call.
+ * @param dialect The headers in which the caller speaks.
  * @returns The problem document that tells the caller.
  */
-export function toProblem(refusal: Refusal, callId: string): Problem {
-  const status = STATUS[refusal.reason];
-  const headers: Record<string, string> = {
-    'content-type': 'application/problem+json',
-    [HeaderName.Outcome]: refusal.outcome,
-  };
-  if (status === 503) {
-    headers['retry-after'] = String(Math.ceil((refusal.retryAfterMs ?? 0) / MS_PER_SECOND));
-  }
+export function toProblem(refusal: Refusal, callId: string, dialect: HttpDialect): Problem {
+  const status = statusOf(refusal);
+  const headers: Record<string, string> = { 'content-type': 'application/problem+json' };
+  if (status === 503) headers['retry-after'] = dialect.retryAfter(refusal.retryAfterMs ?? 0);
   const { reason, outcome, detail, addresses } = refusal;
   const type = `urn:rhubarbkeel:refusal:${reason}`;
   const document = { type, title: reason, status, detail, outcome, call: callId, addresses };
   return { status, headers, body: JSON.stringify(document) };
 }
+
+function statusOf({ reason, outcome }: Refusal): number {
+  const status = STATUS[reason];
+  return outcome === Outcome.Unknown && PROMISES_NOT_RUN.has(status) ? UNKNOWN_STATUS : status;
+}
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -4,13 +4,16 @@
 import { WholeBody, type Body, type BodyChunk, type Headers } from '../contract/mod.ts';
 import {
   TargetFailureKind,
+  type ProbeReport,
   type TargetAnswer,
   type TargetFailure,
   type TargetPort,
   type TargetRequest,
 } from '../guard/mod.ts';
 import { readBody } from './caller_server.ts';
-import { HeaderName, endToEnd } from './headers.ts';
+import { endToEnd } from './headers.ts';
+import type { HeaderReader, HttpDialect } from './http_dialect.ts';
+import { OwnDialect } from './own_dialect.ts';
 
 /** Answers up to this size are read into memory before they are passed on, in bytes. */
 const SMALL_ANSWER_BYTES = 65_536;
@@ -23,14 +26,17 @@
 export interface TargetClientOptions {
   /** Connections that may be open at once. */
   connections: number;
-  /** Path of the target's health endpoint. */
+  /** Path of the target's health endpoint where the configuration names none. */
   healthPath: string;
+  /** The headers in which the target speaks; the product's own by default. */
+  dialect?: HttpDialect;
 }
 
 /** Calls the target beside this daemon over HTTP, on connections that are kept open. */
 export class TargetClient implements TargetPort {
   readonly #pool: Pool;
   readonly #healthPath: string;
+  readonly #dialect: HttpDialect;
 
   /**
    * @param url Origin of the target.
@@ -44,6 +50,7 @@
       bodyTimeout: 0,
     });
     this.#healthPath = options.healthPath;
+    this.#dialect = options.dialect ?? new OwnDialect();
   }
 
   async run(req: TargetRequest): Promise<Result<TargetAnswer, TargetFailure>> {
@@ -51,28 +58,29 @@
       const options: Dispatcher.RequestOptions = {
         method: req.method as Dispatcher.HttpMethod,
         path: req.target,
-        headers: toRequestHeaders(req),
+        headers: this.#requestHeaders(req),
         body: toRequestBody(req.body),
         signal: req.signal,
       };
       const res: Dispatcher.ResponseData = await this.#pool.request(options);
-      return await toAnswer(res);
+      return await this.#toAnswer(req, res);
     } catch (error) {
       return err(toFailure(error, req.signal));
     }
   }
 
-  async probe(): Promise<boolean> {
+  async probe(path?: string): Promise<ProbeReport | undefined> {
     try {
       const res = await this.#pool.request({
         method: 'GET',
-        path: this.#healthPath,
+        path: path ?? this.#healthPath,
         signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
       });
       await res.body.dump();
-      return res.statusCode < 500;
+      const { targetId, coldMs, load } = this.#dialect.readTarget(res.statusCode, readerOf(res));
+      return { isHealthy: res.statusCode < 500, targetId, coldMs, load };
     } catch {
-      return false;
+      return undefined;
     }
   }
 
@@ -80,13 +88,33 @@
   async close(): Promise<void> {
     await this.#pool.close();
   }
-}
 
-function toRequestHeaders(req: TargetRequest): string[] {
-  const kept = endToEnd(req.headers).filter(
-    ([name]) => name !== 'host' && name !== 'content-length',
-  );
-  return [...kept.flat(), HeaderName.Deadline, String(Math.max(1, Math.floor(req.leftMs)))];
+  #requestHeaders(req: TargetRequest): string[] {
+    const kept = endToEnd(req.headers).filter(
+      ([name]) => name !== 'content-length' && !this.#dialect.reserved.has(name),
+    );
+    return [...kept, ...this.#dialect.targetHeaders(req)].flat();
+  }
+
+  async #toAnswer(
+    req: TargetRequest,
+    res: Dispatcher.ResponseData,
+  ): Promise<Result<TargetAnswer, TargetFailure>> {
+    const { statusCode: status } = res;
+    const fields = this.#dialect.readTarget(status, readerOf(res));
+    const isOther = fields.callId !== undefined && fields.callId !== req.callId;
+    if (isOther || !fields.isGenuine) {
+      res.body.destroy();
+      const detail = isOther
+        ? `answer to call ${fields.callId ?? ''}`
+        : `status ${status} unsigned`;
+      return err({ kind: TargetFailureKind.Garbled, detail });
+    }
+    const { targetId, shed, load: reported } = fields;
+    const body = await readStart(res.body);
+    const headers = endToEnd(toHeaders(res.headers));
+    return ok({ status, headers, body, load: undefined, targetId, shed, reported });
+  }
 }
 
 function toRequestBody(body: Body): Uint8Array | Readable | null {
@@ -105,24 +133,41 @@
   }
 }
 
-async function toAnswer(
-  res: Dispatcher.ResponseData,
-): Promise<Result<TargetAnswer, TargetFailure>> {
-  const headers = toHeaders(res.headers);
-  const length = Number(res.headers['content-length'] ?? Number.NaN);
-  const isSmall = length <= SMALL_ANSWER_BYTES;
-  const body = isSmall
-    ? new WholeBody(new Uint8Array(await res.body.arrayBuffer()))
-    : new ReadableBody(res.body);
-  const named = res.headers[HeaderName.TargetIncarnation];
-  return ok({
-    status: res.statusCode,
-    headers: endToEnd(headers),
-    body,
-    load: undefined,
-    incarnation: typeof named === 'string' ? named : undefined,
-    shed: res.headers[HeaderName.TargetShed] !== undefined,
-  });
+/** Reads a small body as a whole, so that a cut is seen before anything is passed on. */
+async function readStart(stream: Readable): Promise<Body> {
+  const parts: Uint8Array[] = [];
+  let size = 0;
+  const source = stream[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
+  for (;;) {
+    const item = await source.next();
+    if (item.done) return new WholeBody(parts.length === 1 ? first(parts) : Buffer.concat(parts));
+    size += item.value.length;
+    parts.push(item.value);
+    if (size > SMALL_ANSWER_BYTES) return new ReadableBody(stream, resume(parts, source));
+  }
+}
+
+function first(parts: readonly Uint8Array[]): Uint8Array {
+  return parts[0] ?? new Uint8Array();
+}
+
+async function* resume(
+  parts: readonly Uint8Array[],
+  source: AsyncIterator<Uint8Array>,
+): AsyncGenerator<Uint8Array> {
+  yield* parts;
+  for (;;) {
+    const item = await source.next();
+    if (item.done) return;
+    yield item.value;
+  }
+}
+
+function readerOf(res: Dispatcher.ResponseData): HeaderReader {
+  return (name) => {
+    const value = res.headers[name];
+    return Array.isArray(value) ? value[0] : value;
+  };
 }
 
 function toHeaders(headers: Record<string, string | string[] | undefined>): Headers {
@@ -146,13 +191,15 @@
 /** An answer's body; ending it early destroys the connection, even before the first read. */
 class ReadableBody implements Body {
   readonly #stream: Readable;
+  readonly #chunks: AsyncIterable<Uint8Array>;
 
-  constructor(stream: Readable) {
+  constructor(stream: Readable, chunks: AsyncIterable<Uint8Array>) {
     this.#stream = stream;
+    this.#chunks = chunks;
   }
 
   [Symbol.asyncIterator](): AsyncIterator<BodyChunk> {
-    const inner = readBody(this.#stream);
+    const inner = readBody(this.#chunks);
     return {
       next: () => inner.next(),
       return: () => {
--- a/placement/placement.ts
+++ b/placement/placement.ts
@@ -52,25 +52,26 @@
 
   /**
    * @param route The call's route.
+   * @param pool The one of its pools that is to run the call.
    * @param scene The world to decide in.
    * @returns The choice, or a refusal if no target may execute the call.
    */
-  choose(route: Route, scene: PlacementScene): Result<Decision, Refusal> {
-    const candidates = this.#candidatesFor(route, scene);
+  choose(route: Route, pool: string, scene: PlacementScene): Result<Decision, Refusal> {
+    const candidates = this.#candidatesFor(route, pool, scene);
     const healthy = candidates.filter(({ view }) => !view.isOutlier);
     const eligible = healthy.length > 0 ? healthy : candidates;
     const candidate = this.#picker.pick(eligible);
     if (!candidate) {
-      const detail = `pool "${route.pool}" has no target left that accepts calls, tried ${scene.excluded.size}`;
+      const detail = `pool "${pool}" has no target left that accepts calls, tried ${scene.excluded.size}`;
       return err(notRun(RefusalReason.NoTarget, detail));
     }
     const reason = this.#reasonFor(scene, healthy.length);
     return ok({ instance: candidate.instance, candidate, reason, candidates: eligible });
   }
 
-  #candidatesFor(route: Route, scene: PlacementScene): Candidate[] {
+  #candidatesFor(route: Route, pool: string, scene: PlacementScene): Candidate[] {
     const candidates: Candidate[] = [];
-    for (const instance of scene.fleet.membersOf(route.pool)) {
+    for (const instance of scene.fleet.membersOf(pool)) {
       const { failureDomain } = instance;
       if (scene.excluded.has(instance.id)) continue;
       if (!scene.geography.isIn(failureDomain)) continue;
--- a/placement/placement_test.ts
+++ b/placement/placement_test.ts
@@ -18,11 +18,13 @@
   workspace: 'plata',
   methods: ['GET'],
   path: '/boards',
-  pool: 'boards',
+  pools: [{ pool: 'boards', weight: 1 }],
   repeatability: Repeatability.Idempotent,
   homeRegions: HomeRegions.ANYWHERE,
   weight: 1,
   timeoutMs: 1_000,
+  objectiveMs: 1_000,
+  maxAttempts: 4,
   bodyLimitBytes: 1_024,
   quarantine: false,
   hedge: false,
@@ -44,7 +46,11 @@
   );
   const excluded = new Set(options.excluded ?? []);
   return Array.from({ length: 6 }, () => {
-    const chosen = placement.choose(options.route ?? route, { fleet, geography, excluded });
+    const chosen = placement.choose(options.route ?? route, 'boards', {
+      fleet,
+      geography,
+      excluded,
+    });
     if (chosen.isErr()) return `${chosen.error.reason}: ${chosen.error.detail}`;
     chosen.value.candidate.view.begin();
     return `${chosen.value.instance.id} ${chosen.value.reason}`;
@@ -78,7 +84,7 @@
   const seen = [0, 5, 10, 20, 40].map((queued) => {
     const load = { inFlight: 6, limit: 6, queued, serviceMs: 20, stage: TargetStage.Warm };
     board.viewOf('boards-centro-a').recordLoad(load, 21);
-    const chosen = placement.choose(route, { fleet, geography, excluded: new Set() });
+    const chosen = placement.choose(route, 'boards', { fleet, geography, excluded: new Set() });
     return `queued=${queued} choice=${chosen.map(({ instance }) => instance.id).unwrapOr('none')}`;
   });
   t.matchSnapshot(seen, 'choices by queue length');
--- a/settings/settings.ts
+++ b/settings/settings.ts
@@ -1,12 +1,34 @@
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
 import { SourceDocument, checkDocument, type Finding } from '../finding/mod.ts';
+import { ForeignEntry } from '../entry/mod.ts';
 import { PickerKind } from '../placement/mod.ts';
 import { LimitKind } from '../guard/mod.ts';
+import { durationMs } from '../platform/mod.ts';
 
 const port = z.int().min(0).max(65_535);
+/** Where to listen: host and port apart, or as `host:port`. */
+const listener = z.union([
+  z.strictObject({ host: z.string().default('127.0.0.1'), port }),
+  z
+    .string()
+    .regex(/^[^:]+:\d{1,5}$/, { error: 'expected "host:port"' })
+    .transform(splitAddress),
+]);
+/** Milliseconds, or a time such as "1500ms" or "2.5s". */
+const duration = z.union([z.number().min(0), durationMs]);
+/** Further attempts of a pool in a burst: enough for one failed target at a few calls each. */
+const DEFAULT_RETRY_BURST = 10;
 const url = z.url({ protocol: /^https?$/ });
 
+/** The ways in which a platform publishes what daemons read. */
+export enum PlatformKind {
+  /** Numbered documents in the product's own form. */
+  Documents = 'documents',
+  /** The users' store of items. */
+  Store = 'store',
+}
+
 /** Shape of a daemon's settings. */
 export const settingsSchema = z.strictObject({
   /** The instance that the daemon stands on. */
@@ -16,23 +38,34 @@
     failureDomain: z.string().min(1),
   }),
   /** Where calls are accepted. */
-  callers: z.strictObject({ host: z.string().default('127.0.0.1'), port }),
+  callers: listener,
   /** Where links of peers are accepted. */
-  peers: z.strictObject({ host: z.string().default('127.0.0.1'), port }),
+  peers: listener,
   /** Where operators ask for health and status. */
-  operators: z.strictObject({ host: z.string().default('127.0.0.1'), port }),
+  operators: listener,
   target: z.strictObject({
     url,
     healthPath: z.string().startsWith('/').default('/health'),
     connections: z.int().min(1).default(64),
+    /** Time between two probes; only a target that is down is probed if absent. */
+    probePeriodMs: z.number().positive().optional(),
+  }),
+  platform: z.strictObject({
+    url,
+    kind: z.enum(PlatformKind).default(PlatformKind.Documents),
+    /** Region of each failure domain, where the platform does not publish them. */
+    regions: z.record(z.string(), z.string()).default({}),
+    /** Further attempts per hundred calls, where the platform does not publish them. */
+    retryPercent: z.number().min(0).max(100).default(10),
   }),
-  platform: z.strictObject({ url }),
   /** Where metrics are sent by StatsD; none if absent. */
   metrics: z.strictObject({ host: z.string(), port }).optional(),
   decisions: z
     .strictObject({
       picker: z.enum(PickerKind).default(PickerKind.ExpectedCost),
       limit: z.enum(LimitKind).default(LimitKind.Fixed),
+      /** What an entry outside a call's home regions does with it. */
+      foreignEntry: z.enum(ForeignEntry).default(ForeignEntry.Refuse),
       /** Seed of the random numbers; differs between daemons. */
       seed: z.int().default(1),
       /** Decisions kept for `rhubarbkeel explain`. */
@@ -52,8 +85,18 @@
       blockMs: z.number().positive().default(60_000),
     })
     .prefault({}),
+  retries: z
+    .strictObject({
+      /** Further attempts of a pool that this daemon may make in a burst. */
+      burst: z.number().min(1).default(DEFAULT_RETRY_BURST),
+      /** Further attempts of a pool that all daemons together may make in a burst. */
+      fleetBurst: z.number().min(0).optional(),
+    })
+    .prefault({}),
+  /** Time for which a stopping daemon still takes calls, so that callers can turn away. */
+  lameDuckMs: duration.default(0),
   /** Longest time that a planned stop waits for open calls, in milliseconds. */
-  drainTimeoutMs: z.number().positive().default(30_000),
+  drainTimeoutMs: duration.default(30_000),
 });
 
 /** A daemon's settings, checked. */
@@ -67,3 +110,8 @@
 export function parseSettings(file: string, text: string): Result<Settings, Finding[]> {
   return checkDocument(new SourceDocument(file, text), settingsSchema).map(({ value }) => value);
 }
+
+function splitAddress(address: string): { host: string; port: number } {
+  const [host = '', port = ''] = address.split(':');
+  return { host, port: Number(port) };
+}
--- a/tap-snapshots/dist/daemon/promises_test.js.test.cjs
+++ b/tap-snapshots/dist/daemon/promises_test.js.test.cjs
@@ -13,9 +13,9 @@
   "one daemon restarted while the service is stale: versions 2",
   "a version with findings: versions 2",
   "configuration:1:451: routes[0].pool: unknown name \\"boards\\"",
-  "configuration:1:652: routes[1].pool: unknown name \\"boards\\"",
-  "configuration:1:851: routes[2].pool: unknown name \\"results\\"",
-  "configuration:1:1064: routes[3].pool: unknown name \\"results\\"",
+  "configuration:1:687: routes[1].pool: unknown name \\"boards\\"",
+  "configuration:1:921: routes[2].pool: unknown name \\"results\\"",
+  "configuration:1:1169: routes[3].pool: unknown name \\"results\\"",
 ]
 `
 
--- a/tap-snapshots/dist/guard/attempt_ledger_test.js.test.cjs
+++ b/tap-snapshots/dist/guard/attempt_ledger_test.js.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`dist/target/attempt_ledger_test.js > TAP > ledger.settle() fences what has not started, and only that > settlements 1`] = `
+exports[`dist/guard/attempt_ledger_test.js > TAP > ledger.settle() fences what has not started, and only that > settlements 1`] = `
 Array [
   "never seen: refused: fenced",
   "accepted afterwards: false",
@@ -19,7 +19,7 @@
 ]
 `
 
-exports[`dist/target/attempt_ledger_test.js > TAP > ledger.settle() stays true when memory runs out > four attempts, room for two 1`] = `
+exports[`dist/guard/attempt_ledger_test.js > TAP > ledger.settle() stays true when memory runs out > four attempts, room for two 1`] = `
 Array [
   "unknown: answer-lost",
   "unknown: answer-lost",
