Take the guard's slots from the instance list as it changes, and watch at once

Cause: the guard looked at its slots only when a configuration came, so it ran one call at a time until the first change (log: 'target runs 1 of 1 calls'); a daemon that was lonely at its start slept up to 10 s before it became a watcher, so a configuration was in force after 3.8 s. Ruled out: link set-up as the main cost of the first seconds (a slow call's lines show 250 ms waits at guards, not dials).

--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -242,7 +242,7 @@
       onDomainIn: () => {
         this.guard.restartCold();
       },
-      onConfiguration: () => {
+      onChange: () => {
         this.guard.refresh();
       },
     });
--- a/daemon/world_view.ts
+++ b/daemon/world_view.ts
@@ -16,8 +16,8 @@
   onDomainOut: () => void;
   /** Called when it was put back into service. */
   onDomainIn: () => void;
-  /** Called with each configuration that comes into force. */
-  onConfiguration: () => void;
+  /** Called with each configuration and instance list that comes into force. */
+  onChange: () => void;
 }
 
 /** The configuration and instance list in force, and what they permit this daemon. */
@@ -41,6 +41,7 @@
       },
       onFleet: (fleet) => {
         this.#fleet = fleet;
+        options.onChange();
       },
     });
   }
@@ -140,6 +141,6 @@
     if (!isIn) this.#options.onDomainOut();
     if (isIn && !this.#wasIn) this.#options.onDomainIn();
     this.#wasIn = isIn;
-    this.#options.onConfiguration();
+    this.#options.onChange();
   }
 }
--- a/spread/version_spread.ts
+++ b/spread/version_spread.ts
@@ -12,8 +12,13 @@
 import type { RandomSource } from '../random/mod.ts';
 import { sleep, type TimerService } from '../timer/mod.ts';
 
-/** Longest wait of one watch at the platform, in milliseconds. */
-const WATCH_WAIT_MS = 30_000;
+/**
+ * Longest wait of one watch at the platform, in milliseconds; bounds the time
+ * for which a connection that has gone silent hides changes.
+ */
+const WATCH_WAIT_MS = 5_000;
+/** Wait between two watches, in milliseconds; changes that come together cost one read. */
+const WATCH_GAP_MS = 100;
 /** Shortest wait after a failed read, in milliseconds; a random part is added. */
 const RETRY_DELAY_MS = 500;
 /** Time between two checks of a follower's links to its watchers, in milliseconds. */
@@ -58,6 +63,10 @@
   readonly #askedAtMs = new WeakMap<PeerLink, number>();
   readonly #stop = new AbortController();
   #lastFollowedMs: number;
+  readonly #lastReadMs: Record<DocumentKind, number> = {
+    [DocumentKind.Configuration]: -Infinity,
+    [DocumentKind.Fleet]: -Infinity,
+  };
   #platformReads = 0;
   #ranked: { fleet: Fleet; watchers: Instance[] } | undefined;
 
@@ -158,25 +167,34 @@
   }
 
   async #watch(kind: DocumentKind): Promise<void> {
-    const { timer } = this.#options;
     const { signal } = this.#stop;
     while (!signal.aborted) {
-      const isLonely = timer.now() - this.#lastFollowedMs > LONELY_LIMIT_MS;
-      if (this.isWatcher) {
+      if (this.isWatcher || this.#isFleetUnknown) {
         const answered = await this.#read(kind, WATCH_WAIT_MS);
-        if (!answered) await this.#pause(RETRY_DELAY_MS);
-      } else if (isLonely) {
-        await this.#read(kind, 0);
-        await this.#pause(LONELY_READ_PERIOD_MS);
+        await this.#pause(answered ? WATCH_GAP_MS : RETRY_DELAY_MS);
       } else {
         await this.#pause(FOLLOW_PERIOD_MS);
+        if (this.#isLonely(kind)) await this.#read(kind, 0);
       }
     }
   }
 
+  /** Without any instance there is no watcher yet, so every daemon watches. */
+  get #isFleetUnknown(): boolean {
+    return this.#options.fleet().size === 0;
+  }
+
+  #isLonely(kind: DocumentKind): boolean {
+    if (this.isWatcher) return false;
+    const nowMs = this.#options.timer.now();
+    if (nowMs - this.#lastFollowedMs < LONELY_LIMIT_MS) return false;
+    return nowMs - this.#lastReadMs[kind] >= LONELY_READ_PERIOD_MS;
+  }
+
   async #read(document: DocumentKind, waitMs: number): Promise<boolean> {
     const { platform, store, log } = this.#options;
     this.#platformReads += 1;
+    this.#lastReadMs[document] = this.#options.timer.now();
     const afterVersion = store.version(document);
     const read = await platform.read({ document, afterVersion, waitMs });
     if (read.isErr()) {
