Bound the wait for a key's owner by the deadline

Cause: matrix case bound/call-sent/link-silent with seed 3 dropped a call on every run: a call relayed to its key's owner waited for ever when its frame was lost on a link that fell silent and came back. Ruled out: the fake network alone (real links lose no frame without breaking, but a caller must get an end whatever the link does).

--- a/entry/key_relay.ts
+++ b/entry/key_relay.ts
@@ -16,12 +16,16 @@
 import { sleep, type TimerService } from '../timer/mod.ts';
 import type { AttemptCounter } from './attempt_counter.ts';
 import type { Scene } from './dispatcher.ts';
+import { withTimeout } from './settle_attempt.ts';
 import type { PeerDirectory, PeerPort } from './peer_directory.ts';
 
 /** Instances that may have taken over the keys of one that has stopped. */
 export const SUCCESSOR_COUNT = 3;
 const RETRY_DELAY_MS = 50;
 
+/** Time beyond the deadline that the owner has for its word, in milliseconds. */
+const GRACE_MS = 500;
+
 /** What a {@linkcode KeyRelay} needs. */
 export interface KeyRelayOptions {
   timer: TimerService;
@@ -90,7 +94,8 @@
     const { sender, sequence } = this.#options.attempts.next();
     const { configurationVersion } = this.#options.scene();
     const leg = Leg.Owner;
-    return port.send({ sender, sequence, leg, call, fingerprint: undefined, configurationVersion });
+    const attempt = { sender, sequence, leg, call, fingerprint: undefined, configurationVersion };
+    return withTimeout(port.send(attempt), this.#options.timer, call.deadline.leftMs + GRACE_MS);
   }
 
   #possibleHolders(claims: KeyClaims): Instance[] {
--- a/matrix/matrix_test.ts
+++ b/matrix/matrix_test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import { CallType, listCases, playCases, type Cell } from './mod.ts';
+import { CallType, Fault, listCases, playCases, type Cell } from './mod.ts';
 
 const SEED = 7;
 
@@ -20,3 +20,17 @@
     t.matchSnapshot(cells.map(describe), 'ends');
   });
 }
+
+/** Seeds under which a call once had no end. */
+const REGRESSION_SEEDS = [1, 2, 3];
+
+void t.test('fault matrix ends every call over a link that falls silent', async (t) => {
+  const broken: string[] = [];
+  const cases = listCases({ seeds: REGRESSION_SEEDS }).filter(({ faults }) =>
+    faults.includes(Fault.LinkSilent),
+  );
+  await playCases(cases, (each, violations) => {
+    broken.push(JSON.stringify({ each, violations }));
+  });
+  t.strictSame(broken, [], 'nothing doubled, dropped, untrue, leaked or crossed');
+});
