Turn calls away from targets that are too slow at the moment

The guard now asks its target for its pace if the last report is over 40 ms old, learns each route's usual time, and refuses a call (not run) that would end in its objective at the usual speed only; the entry goes on, and after two such refusals one target has to run it. Ruled out: refusing by reports that rode on earlier answers alone (too old: a target answers ten times a second and spells last 300 ms).

--- a/contract/call.ts
+++ b/contract/call.ts
@@ -23,6 +23,8 @@
   headers: Headers;
   body: Body;
   deadline: Deadline;
+  /** The moment until which an answer has its full value. */
+  objective: Deadline;
   /** Calls above this one in the chain that led to it. */
   depth: number;
   /** Issued idempotency key, if the caller sent one. */
@@ -53,6 +55,8 @@
   fingerprint: string | undefined;
   /** Version of the configuration that the sender decided by. */
   configurationVersion: number;
+  /** Whether to run the call even where it will not end in time, since no other target would either. */
+  insists: boolean;
 }
 
 /** An answer from a target, on its way to the caller. */
--- a/contract/refusal.ts
+++ b/contract/refusal.ts
@@ -21,6 +21,8 @@
   Leaving = 'leaving',
   NotReady = 'not-ready',
   TargetBusy = 'target-busy',
+  /** The target works too slowly now for the call to end in time. */
+  TargetSlow = 'target-slow',
   /** The target itself refused the call unrun. */
   TargetShed = 'target-shed',
   TargetDown = 'target-down',
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -46,6 +46,8 @@
 const SERVER_ERROR_STATUS = 500;
 /** Guards that may refuse one call before it is refused as a whole; bounds the time until then. */
 const MAX_GUARD_REFUSALS = 4;
+/** Targets that may turn one call away as too slow at the moment before one of them has to run it. */
+const MAX_SLOW_TARGETS = 2;
 /** Longest time spent on learning the end of a keyless call whose link broke, in milliseconds. */
 const KEYLESS_SETTLE_MS = 1_000;
 
@@ -89,6 +91,10 @@
   reached: number;
   /** Attempts that a guard refused. */
   refused: number;
+  /** Names of instances whose targets were too slow at the moment. */
+  slow: string[];
+  /** Whether the next target runs the call however slow it is. */
+  insists: boolean;
   mayHaveRun: boolean;
   last: Refusal | undefined;
   /** An answer that is given if no better one can be had. */
@@ -145,13 +151,18 @@
       excluded: new Set<string>(),
       reached: 0,
       refused: 0,
+      slow: [],
+      insists: false,
       mayHaveRun: false,
       last: undefined,
       failed: undefined,
     };
     for (;;) {
       const decided = this.#decide(call, fingerprint, course.excluded);
-      if (decided.isErr()) return conclude(course, moreTelling(course.last, decided.error));
+      if (decided.isErr()) {
+        if (insistsNow(course)) continue;
+        return conclude(course, moreTelling(course.last, decided.error));
+      }
       const result = await this.#tryOnce(call, decided.value, { fingerprint, course });
       if (result.isOk()) {
         course.reached += 1;
@@ -159,7 +170,7 @@
         course.failed = result.value;
         continue;
       }
-      recordFailure(course, result.error);
+      recordFailure(course, result.error, decided.value.instance);
       if (!mayRepeat(call, result.error, { course, budget })) {
         return conclude(course, result.error.refusal);
       }
@@ -173,7 +184,8 @@
   ): Promise<AttemptResult> {
     const { excluded } = course;
     excluded.add(decision.instance.id);
-    if (!call.route.hedge) return this.#try(call, decision, fingerprint);
+    const { insists } = course;
+    if (!call.route.hedge) return this.#try(call, decision, { fingerprint, insists });
     return this.#tryHedged(call, decision, {
       fingerprint,
       excluded,
@@ -224,16 +236,17 @@
   #tryHedged(call: Call, decision: Decision, turn: Turn): Promise<AttemptResult> {
     const { fingerprint, excluded, hedges } = turn;
     hedges.recordCall();
-    if (!(call.body instanceof WholeBody)) return this.#try(call, decision, fingerprint);
+    const sent = { fingerprint, insists: false };
+    if (!(call.body instanceof WholeBody)) return this.#try(call, decision, sent);
     return raceHedged(call, {
       timer: this.#options.timer,
       serviceMs: decision.candidate.view.serviceMs,
-      first: (copy) => this.#try(copy, decision, fingerprint),
+      first: (copy) => this.#try(copy, decision, sent),
       second: () => {
         const chosen = hedges.tryTake() ? this.#choose(call, excluded) : undefined;
         if (!chosen?.isOk()) return undefined;
         excluded.add(chosen.value.instance.id);
-        return (copy) => this.#try(copy, chosen.value, fingerprint);
+        return (copy) => this.#try(copy, chosen.value, sent);
       },
     });
   }
@@ -241,24 +254,24 @@
   async #try(
     call: Call,
     decision: Decision,
-    fingerprint: string | undefined,
+    sent: Pick<Attempt, 'fingerprint' | 'insists'>,
   ): Promise<AttemptResult> {
     const opened = await this.#options.peers.open(decision.instance);
     if (opened.isErr()) {
       decision.candidate.view.begin()(AttemptSign.Lost);
       return err({ kind: FailureKind.NotSent, refusal: opened.error, load: undefined });
     }
-    const attempt = this.#makeAttempt(call, fingerprint);
+    const attempt = this.#makeAttempt(call, sent);
     const ended = await this.#send({ decision, attempt, port: opened.value });
     if (ended.isErr())
       this.#recordFailure(call, decision.instance, { attempt, failure: ended.error });
     return ended;
   }
 
-  #makeAttempt(call: Call, fingerprint: string | undefined): Attempt {
+  #makeAttempt(call: Call, sent: Pick<Attempt, 'fingerprint' | 'insists'>): Attempt {
     const { sender, sequence } = this.#options.attempts.next();
     const { configurationVersion } = this.#options.scene();
-    return { sender, sequence, leg: Leg.Guard, call, fingerprint, configurationVersion };
+    return { sender, sequence, leg: Leg.Guard, call, configurationVersion, ...sent };
   }
 
   async #send({ decision, attempt, port }: Try): Promise<AttemptResult> {
@@ -336,11 +349,22 @@
   return Math.round(value * 100) / 100;
 }
 
-function recordFailure(course: Course, failure: AttemptFailure): void {
+function recordFailure(course: Course, failure: AttemptFailure, instance: Instance): void {
   course.mayHaveRun ||= !isNotRun(failure.kind);
   course.last = failure.refusal;
   if (hasReachedTarget(failure)) course.reached += 1;
   else course.refused += 1;
+  if (failure.refusal.reason !== RefusalReason.TargetSlow) return;
+  course.slow.push(instance.id);
+  if (course.slow.length >= MAX_SLOW_TARGETS) insistsNow(course);
+}
+
+/** Goes back to the targets that were too slow, if there are any; one of them is to run the call. */
+function insistsNow(course: Course): boolean {
+  if (course.insists || course.slow.length === 0) return false;
+  course.insists = true;
+  for (const id of course.slow) course.excluded.delete(id);
+  return true;
 }
 
 /** An attempt that reached its target costs the target work; one that a guard refused does not. */
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -166,6 +166,7 @@
         headers,
         body,
         deadline: new Deadline(this.#options.timer, leftMs),
+        objective: new Deadline(this.#options.timer, Math.min(leftMs, route.objectiveMs)),
         depth,
         key,
         signal,
--- a/entry/key_relay.ts
+++ b/entry/key_relay.ts
@@ -94,7 +94,15 @@
     const { sender, sequence } = this.#options.attempts.next();
     const { configurationVersion } = this.#options.scene();
     const leg = Leg.Owner;
-    const attempt = { sender, sequence, leg, call, fingerprint: undefined, configurationVersion };
+    const attempt = {
+      sender,
+      sequence,
+      leg,
+      call,
+      fingerprint: undefined,
+      configurationVersion,
+      insists: true,
+    };
     return withTimeout(port.send(attempt), this.#options.timer, call.deadline.leftMs + GRACE_MS);
   }
 
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -25,13 +25,14 @@
   type Refusal,
 } from '../contract/mod.ts';
 import type { EventLog } from '../event_log/mod.ts';
-import type { Subscription, TimerService } from '../timer/mod.ts';
+import { sleep, type Subscription, type TimerService } from '../timer/mod.ts';
 import { AttemptLedger } from './attempt_ledger.ts';
 import { makeLimit, type ConcurrencyLimit, type LimitKind } from './concurrency_limit.ts';
 import { Gate, type GateBounds } from './gate.ts';
 import { Quarantine } from './quarantine.ts';
 import { ServiceClock } from './service_clock.ts';
 import { TargetHealth } from './target_health.ts';
+import { TargetPace } from './target_pace.ts';
 import {
   TargetFailureKind,
   type TargetAnswer,
@@ -52,6 +53,10 @@
 const TICK_MS = 100;
 /** Time between two probes of a target that is down where no period is set, in milliseconds. */
 const DOWN_PROBE_PERIOD_MS = 1_000;
+/** Age beyond which a target's report of its pace is asked for anew, in milliseconds. */
+const PACE_AGE_MS = 40;
+/** Longest wait for that report, in milliseconds; a call that waits longer goes on without. */
+const PACE_WAIT_MS = 10;
 /** Time beyond its deadline after which a keyless call is ended, in milliseconds. */
 const KEYLESS_GRACE_MS = 250;
 
@@ -101,7 +106,8 @@
   readonly #probing: Subscription;
   #slots: number;
   #overload = 0;
-  #isProbing = false;
+  readonly #pace: TargetPace;
+  #probe: Promise<void> | undefined;
   #probedAtMs = -Infinity;
 
   /** @param options See {@linkcode GuardOptions}. */
@@ -116,6 +122,7 @@
       coldPerSecond: options.pool()?.coldPerSecond,
     }));
     this.#health = new TargetHealth(options.log, this.#warmUp);
+    this.#pace = new TargetPace(options.timer);
     this.#gate = new Gate(options.timer, () => this.#bounds());
     this.#ledger = new AttemptLedger(options.timer);
     this.#probing = options.timer.every(this.#tickMs, () => {
@@ -226,7 +233,11 @@
     const { route, deadline, signal } = attempt.call;
     const entered = await this.#gate.enter({ weight: route.weight, deadline, signal });
     if (entered.isErr()) return this.#fail(FailureKind.Refused, entered.error);
-    const objection = this.#objectionTo(attempt, AdmissionPhase.Starting) ?? this.#fenceOf(id);
+    await this.#refreshPace();
+    const objection =
+      this.#objectionTo(attempt, AdmissionPhase.Starting) ??
+      this.#objectionToPace(attempt) ??
+      this.#fenceOf(id);
     if (objection) {
       this.#gate.leave();
       return this.#fail(FailureKind.Refused, objection);
@@ -234,6 +245,22 @@
     return this.#execute(attempt);
   }
 
+  /** Asks the target how fast it works, unless that is known; only one that reports its pace is asked. */
+  async #refreshPace(): Promise<void> {
+    if (this.#options.probePeriodMs === undefined || this.#pace.ageMs < PACE_AGE_MS) return;
+    const done = new AbortController();
+    const late = sleep(this.#timer, PACE_WAIT_MS, { signal: done.signal });
+    await Promise.race([this.#probeTarget(), late]);
+    done.abort();
+  }
+
+  #objectionToPace({ call, insists }: Attempt): Refusal | undefined {
+    if (insists || !this.#pace.isTooSlowFor(call.route.name, call.objective.leftMs))
+      return undefined;
+    const detail = `work takes ${this.#pace.slowdown} times as long as usual at the target`;
+    return notRun(RefusalReason.TargetSlow, detail);
+  }
+
   #fenceOf(id: AttemptId | undefined): Refusal | undefined {
     if (!id || this.#ledger.start(id)) return undefined;
     return notRun(RefusalReason.Fenced, 'the attempt was fenced while it waited');
@@ -242,10 +269,14 @@
   async #execute(attempt: Attempt): Promise<AttemptResult> {
     const startMs = this.#timer.now();
     const inFlight = this.#gate.inFlight;
+    const isUsualPace = this.#pace.slowdown <= 1;
     if (inFlight > this.#currentLimit()) this.#overload += 1;
     const result = await this.#runTarget(attempt);
     const elapsedMs = this.#timer.now() - startMs;
     this.#recordEnd(attempt, result, { elapsedMs, inFlight });
+    if (isUsualPace && result.isOk() && !result.value.shed) {
+      this.#pace.recordRun(attempt.call.route.name, elapsedMs);
+    }
     if (result.isErr()) {
       this.#gate.leave();
       return this.#failureOf(result.error);
@@ -308,7 +339,8 @@
     if (attempt.fingerprint !== undefined)
       this.#options.quarantine.recordAnswer(attempt.fingerprint);
     const succeeded = result.value.status < SERVER_ERROR_STATUS;
-    const { targetId, shed } = result.value;
+    const { targetId, shed, reported } = result.value;
+    this.#pace.recordReport(reported);
     this.#health.recordAnswer(targetId);
     if (shed) return;
     this.#clock.record(elapsedMs);
@@ -390,11 +422,21 @@
   }
 
   async #probeIfDue(): Promise<void> {
-    if (this.#isProbing || this.#timer.now() - this.#probedAtMs < this.#probeDelayMs) return;
-    this.#isProbing = true;
+    if (this.#timer.now() - this.#probedAtMs >= this.#probeDelayMs) await this.#probeTarget();
+  }
+
+  /** Probes the target; those who ask meanwhile share the answer. */
+  #probeTarget(): Promise<void> {
+    this.#probe ??= this.#probeOnce().finally(() => {
+      this.#probe = undefined;
+    });
+    return this.#probe;
+  }
+
+  async #probeOnce(): Promise<void> {
     this.#probedAtMs = this.#timer.now();
     const report = await this.#options.port.probe(this.#options.pool()?.healthPath);
-    this.#isProbing = false;
+    this.#pace.recordReport(report?.load);
     if (report || this.#options.probePeriodMs !== undefined) this.#health.recordProbe(report);
     this.#gate.admitWaiting();
   }
--- a/link/call_frames.ts
+++ b/link/call_frames.ts
@@ -34,7 +34,9 @@
     method: call.method,
     target: call.target,
     headers: flattenHeaders(call.headers),
-    leftMs: call.deadline.leftMs,
+    leftMs: Math.round(call.deadline.leftMs),
+    objectiveLeftMs: Math.round(call.objective.leftMs),
+    insists: attempt.insists,
     depth: call.depth,
     key: call.key ?? null,
     fingerprint: attempt.fingerprint ?? null,
@@ -77,6 +79,7 @@
     headers: pairHeaders(frame.headers),
     body: incoming ?? inline,
     deadline: new Deadline(timer, frame.leftMs),
+    objective: new Deadline(timer, frame.objectiveLeftMs),
     depth: frame.depth,
     key: frame.key ?? undefined,
     signal,
@@ -89,6 +92,7 @@
     call,
     fingerprint: frame.fingerprint ?? undefined,
     configurationVersion: frame.version,
+    insists: frame.insists,
   };
 }
 
--- a/link/frame.ts
+++ b/link/frame.ts
@@ -66,6 +66,8 @@
   /** Names and values in turn. */
   headers: string[];
   leftMs: number;
+  objectiveLeftMs: number;
+  insists: boolean;
   depth: number;
   key: string | null;
   fingerprint: string | null;
--- a/link/frame_layout.ts
+++ b/link/frame_layout.ts
@@ -91,6 +91,8 @@
     ['target', isText],
     ['headers', isHeaderList],
     ['leftMs', isNumber],
+    ['objectiveLeftMs', isNumber],
+    ['insists', isFlag],
     ['depth', isCount],
     ['key', orNull(isText)],
     ['fingerprint', orNull(isText)],
--- a/link/problem.ts
+++ b/link/problem.ts
@@ -23,6 +23,7 @@
   [RefusalReason.NotReady]: 503,
   [RefusalReason.TargetBusy]: 503,
   [RefusalReason.TargetShed]: 503,
+  [RefusalReason.TargetSlow]: 503,
   [RefusalReason.TargetDown]: 503,
   [RefusalReason.NoTarget]: 503,
   [RefusalReason.RetryBudgetSpent]: 503,
