Tell reset answers from whole ones, and end planned stops in time

A discarded answer's stream raised an error nobody listened to, which ended two processes; stops waited for callers' kept connections until they were killed. Ruled out: the link between daemons (both ends were the guard's own).

--- a/contract/deadline.ts
+++ b/contract/deadline.ts
@@ -2,6 +2,9 @@
 import type { TimerService } from '../timer/mod.ts';
 import { notRun, RefusalReason, type Refusal } from './refusal.ts';
 
+/** Timers may fire this much early, in milliseconds; a deadline that a timer waited for has passed. */
+const TIMER_TOLERANCE_MS = 1;
+
 /** The moment after which nobody waits for an answer any more. */
 export class Deadline {
   readonly #timer: TimerService;
@@ -23,7 +26,7 @@
 
   /** @returns Whether it has passed. */
   get hasPassed(): boolean {
-    return this.leftMs <= 0;
+    return this.leftMs < TIMER_TOLERANCE_MS;
   }
 }
 
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -36,6 +36,7 @@
   readonly #platform: ClosableSource;
   readonly #metrics: Metrics;
   readonly #gauges: Subscription;
+  readonly #timer: TimerService;
 
   private constructor(
     daemon: Daemon,
@@ -45,6 +46,7 @@
       platform: ClosableSource;
       metrics: Metrics;
       gauges: Subscription;
+      timer: TimerService;
     },
   ) {
     this.daemon = daemon;
@@ -53,6 +55,7 @@
     this.#platform = parts.platform;
     this.#metrics = parts.metrics;
     this.#gauges = parts.gauges;
+    this.#timer = parts.timer;
   }
 
   /**
@@ -88,7 +91,7 @@
       sendGauges(daemon, metrics);
     });
     void daemon.start();
-    const parts = { target, platform, metrics, gauges };
+    const parts = { target, platform, metrics, gauges, timer };
     return ok(new DaemonProcess(daemon, { callers, peers, operators }, parts));
   }
 
@@ -110,7 +113,7 @@
   /** Stops without cutting a call. */
   async drain(): Promise<void> {
     await this.daemon.drain();
-    await this.#servers.callers.close();
+    await this.#servers.callers.close(this.#timer);
     this.#servers.peers.close();
     this.#servers.operators.close();
     this.#gauges.cancel();
--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -11,6 +11,7 @@
   type Headers as CallHeaders,
 } from '../contract/mod.ts';
 import type { CallerReply, CallerRequest } from '../entry/mod.ts';
+import { sleep, type TimerService } from '../timer/mod.ts';
 import { endToEnd, pairHeaders } from './headers.ts';
 import type { HttpDialect } from './http_dialect.ts';
 import { OwnDialect } from './own_dialect.ts';
@@ -19,6 +20,9 @@
 
 const MAX_HEADER_BYTES = 16_384;
 /** Statuses whose answers have no body. */
+/** Looks at whether the last answers are flushed, and the time between two, in milliseconds. */
+const CLOSE_LOOKS = 10;
+const CLOSE_LOOK_MS = 20;
 const BODILESS_STATUS = new Set([101, 204, 205, 304]);
 /** Headers of the hop between caller and daemon that are not passed to the target. */
 
@@ -78,14 +82,22 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
-  /** Stops accepting connections, and ends the open ones once they are idle. */
-  close(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => {
-        resolve();
-      });
-      this.#server.closeIdleConnections();
+  /**
+   * Stops accepting connections, and ends the open ones; every call must have
+   * its answer by then.
+   *
+   * @param timer The source of time.
+   */
+  async close(timer: TimerService): Promise<void> {
+    let isClosed = false;
+    this.#server.close(() => {
+      isClosed = true;
     });
+    for (let look = 0; look < CLOSE_LOOKS && !isClosed; look += 1) {
+      this.#server.closeIdleConnections();
+      await sleep(timer, CLOSE_LOOK_MS);
+    }
+    this.#server.closeAllConnections();
   }
 }
 
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -1,7 +1,13 @@
 import { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
-import { Pool, type Dispatcher } from 'undici';
-import { WholeBody, type Body, type BodyChunk, type Headers } from '../contract/mod.ts';
+import { Pool, buildConnector, type Dispatcher } from 'undici';
+import {
+  WholeBody,
+  abandonBody,
+  type Body,
+  type BodyChunk,
+  type Headers,
+} from '../contract/mod.ts';
 import {
   TargetFailureKind,
   type ProbeReport,
@@ -37,15 +43,26 @@
   readonly #pool: Pool;
   readonly #healthPath: string;
   readonly #dialect: HttpDialect;
+  /** Connections that were reset so far. */
+  #resets = 0;
+  readonly #onSocketError = () => {
+    this.#resets += 1;
+  };
 
   /**
    * @param url Origin of the target.
    * @param options See {@linkcode TargetClientOptions}.
    */
   constructor(url: string, options: TargetClientOptions) {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
     this.#pool = new Pool(url, {
       connections: options.connections,
-      connectTimeout: CONNECT_TIMEOUT_MS,
+      connect: (target, callback) => {
+        connect(target, (...connected) => {
+          connected[1]?.on('error', this.#onSocketError);
+          callback(...connected);
+        });
+      },
       headersTimeout: 0,
       bodyTimeout: 0,
     });
@@ -84,9 +101,9 @@
     }
   }
 
-  /** Closes the connections once they are idle. */
+  /** Ends all connections at once. */
   async close(): Promise<void> {
-    await this.#pool.close();
+    await this.#pool.destroy();
   }
 
   #requestHeaders(req: TargetRequest): string[] {
@@ -104,14 +121,20 @@
     const fields = this.#dialect.readTarget(status, readerOf(res));
     const isOther = fields.callId !== undefined && fields.callId !== req.callId;
     if (isOther || !fields.isGenuine) {
-      res.body.destroy();
+      destroyQuietly(res.body);
       const detail = isOther
         ? `answer to call ${fields.callId ?? ''}`
         : `status ${status} unsigned`;
       return err({ kind: TargetFailureKind.Garbled, detail });
     }
     const { targetId, shed, load: reported } = fields;
+    const resetsBefore = this.#resets;
     const body = await readStart(res.body);
+    // The library takes an answer without a length for whole even if its connection was reset.
+    if (isUnframed(res) && this.#resets > resetsBefore) {
+      if (!(body instanceof WholeBody)) await abandonBody(body);
+      return err({ kind: TargetFailureKind.Broken, detail: 'reset before the end of an answer' });
+    }
     const headers = endToEnd(toHeaders(res.headers));
     return ok({ status, headers, body, load: undefined, targetId, shed, reported });
   }
@@ -133,6 +156,16 @@
   }
 }
 
+function isUnframed({ headers }: Dispatcher.ResponseData): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+/** Ends a stream whose remaining content nobody wants; its error is expected. */
+function destroyQuietly(stream: Readable): void {
+  stream.on('error', () => undefined);
+  stream.destroy();
+}
+
 /** Reads a small body as a whole, so that a cut is seen before anything is passed on. */
 async function readStart(stream: Readable): Promise<Body> {
   const parts: Uint8Array[] = [];
@@ -203,7 +236,7 @@
     return {
       next: () => inner.next(),
       return: () => {
-        this.#stream.destroy();
+        destroyQuietly(this.#stream);
         return Promise.resolve({ done: true, value: undefined });
       },
     };
