Start faster, keep lapsed entries for a while, and advise when to come back

Entries that lapsed in an outage of the store were taken as gone at once. Ruled out: the store as the cause of the slow start (reads take 8 to 20 ms).

--- a/cli/patch_command.ts
+++ b/cli/patch_command.ts
@@ -1,6 +1,6 @@
 import fastJsonPatch, { type Operation } from 'fast-json-patch';
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { SourceDocument, checkDocument, makeFinding, type Finding } from '../finding/mod.ts';
 import { Configuration } from '../configuration/mod.ts';
 import { ExitCode } from './exit_code.ts';
--- a/configuration/configuration.ts
+++ b/configuration/configuration.ts
@@ -31,6 +31,8 @@
   readonly document: ConfigurationDocument;
   readonly geography: Geography;
   readonly routes: RouteTable;
+  /** Bounds of callers' connections. */
+  readonly callerLimits: ConfigurationDocument['callers'];
   readonly #pools = new Map<string, Pool>();
 
   private constructor(document: ConfigurationDocument) {
@@ -40,6 +42,7 @@
     const workspaces = document.workspaces.map(toWorkspace);
     const routes = document.routes.map((route) => toRoute(route, workspaces));
     this.routes = new RouteTable(workspaces, routes);
+    this.callerLimits = document.callers;
     for (const pool of document.pools) this.#pools.set(pool.name, toPool(pool));
   }
 
--- a/configuration/configuration_schema.ts
+++ b/configuration/configuration_schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { DomainState } from '../failure_domain/mod.ts';
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,252}$/, {
--- a/configuration/document_source.ts
+++ b/configuration/document_source.ts
@@ -23,6 +23,8 @@
 
 /** The platform's configuration service and instance list, which can only be read. */
 export interface DocumentSource {
+  /** Whether a read gives the newest version for certain. */
+  readonly isLinearizable: boolean;
   /**
    * @param req What to read.
    * @returns The document, nothing if there was no newer one, or why there is no answer.
--- a/configuration/fleet_schema.ts
+++ b/configuration/fleet_schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { Fleet, LifeStage, type Instance } from '../instance/mod.ts';
 
 /** Shape of the platform's instance list: instances by name, so that one change is a small patch. */
--- a/configuration/http_source.ts
+++ b/configuration/http_source.ts
@@ -15,6 +15,7 @@
 
 /** Reads the platform over HTTP. */
 export class HttpSource implements DocumentSource {
+  readonly isLinearizable = false;
   readonly #pool: Pool;
 
   /** @param url Origin of the platform's service. */
--- a/configuration/mod.ts
+++ b/configuration/mod.ts
@@ -15,6 +15,7 @@
 export * from './document_kind.ts';
 export * from './document_store.ts';
 export * from './fleet_schema.ts';
+export * from './lapse_grace.ts';
 export * from './http_source.ts';
 export * from './document_source.ts';
 export * from './watchers.ts';
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -128,6 +128,7 @@
       instance,
       view: this.#view,
       spread: this.spread,
+      isLinearizable: options.platform.isLinearizable,
       link: (peer) => this.#linkTo(peer),
       signal: this.#stopped.signal,
     });
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -69,7 +69,7 @@
     log,
   }: DaemonProcessOptions): Promise<Result<DaemonProcess, ListenError[]>> {
     const timer = new RealTimer();
-    const { dialect, source: platform } = connectPlatform(settings, log);
+    const { dialect, source: platform } = connectPlatform(settings, log, timer);
     const target = new TargetClient(settings.target.url, { ...settings.target, dialect });
     const metrics = makeMetrics(settings);
     const dialer = new WsDialer();
@@ -79,6 +79,7 @@
         ...settings.callers,
         dialect,
         isLeaving: () => daemon.stage === LifeStage.Leaving,
+        limits: () => daemon.configuration?.callerLimits,
         serve: (req) => serveMeasured(daemon, req, { timer, metrics }),
       }),
       PeerServer.listen({ ...settings.peers, serve: (channel) => daemon.accept(channel) }),
@@ -131,6 +132,7 @@
 function connectPlatform(
   { platform, callers, peers }: Settings,
   log: EventLog,
+  timer: TimerService,
 ): { dialect: HttpDialect; source: ClosableSource } {
   const { url, kind, regions, retryPercent } = platform;
   switch (kind) {
@@ -142,6 +144,7 @@
         source: new StoreSource({
           client: new StoreClient(url),
           log,
+          timer,
           ports: { callers: callers.port, peers: peers.port },
           rules: { regions, retryPercent },
         }),
--- a/daemon/version_learning.ts
+++ b/daemon/version_learning.ts
@@ -21,6 +21,8 @@
    * @returns An open link to its daemon, if it can be had.
    */
   link: (instance: Instance) => Promise<PeerLink | undefined>;
+  /** Whether a read of the platform gives the newest versions for certain. */
+  isLinearizable: boolean;
   /** Ends all waiting. */
   signal: AbortSignal;
 }
@@ -47,7 +49,8 @@
   /** Reads the platform and asks peers, which may have newer versions than a stale platform gives. */
   async once(): Promise<void> {
     const { timer, spread, signal, link } = this.#options;
-    await spread.readOnce();
+    const answered = await spread.readOnce();
+    if (answered && this.#options.isLinearizable) return;
     const links = await Promise.all(this.#peersToAsk().map(link));
     const open = links.filter((each) => each !== undefined);
     for (const each of open) spread.ask(each);
--- a/daemon/world_view.ts
+++ b/daemon/world_view.ts
@@ -31,6 +31,7 @@
   #configuration: Configuration | undefined;
   #fleet = new Fleet(0, []);
   #wasIn = true;
+  #wasListed = false;
 
   /** @param options See {@linkcode WorldViewOptions}. */
   constructor(options: WorldViewOptions) {
@@ -41,6 +42,7 @@
       },
       onFleet: (fleet) => {
         this.#fleet = fleet;
+        this.#wasListed ||= fleet.find(options.instance.id) !== undefined;
         options.onChange();
       },
     });
@@ -131,8 +133,12 @@
     if (!this.isDomainIn) {
       return notRun(RefusalReason.DomainOut, `failure domain "${failureDomain}" was taken out`);
     }
-    if (this.#fleet.find(id)?.stage !== LifeStage.Leaving) return undefined;
-    return notRun(RefusalReason.Leaving, 'the instance list says that the target is leaving');
+    const listed = this.#fleet.find(id);
+    if (listed?.stage === LifeStage.Leaving) {
+      return notRun(RefusalReason.Leaving, 'the instance list says that the target is leaving');
+    }
+    if (listed || !this.#wasListed) return undefined;
+    return notRun(RefusalReason.Leaving, 'the target is no longer in the instance list');
   }
 
   #apply(configuration: Configuration): void {
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -28,6 +28,7 @@
 import type { TimerService } from '../timer/mod.ts';
 import type { Dispatcher, Scene } from './dispatcher.ts';
 import type { KeyRelay } from './key_relay.ts';
+import { withRetryAdvice } from './retry_advice.ts';
 
 /** Deepest chain of calls that is served. */
 const MAX_DEPTH = 32;
@@ -127,7 +128,8 @@
       : await this.#execute(admitted.value, req);
     this.#open -= 1;
     this.#logEnd(callId, result, startMs);
-    return { callId, result, nextKey: this.#nextKey(admitted, result) };
+    const nextKey = this.#nextKey(admitted, result);
+    return { callId, result: result.mapErr(withRetryAdvice), nextKey };
   }
 
   /**
--- a/fakes/fake_platform.ts
+++ b/fakes/fake_platform.ts
@@ -23,6 +23,7 @@
 
 /** The platform in memory. */
 export class FakePlatform implements DocumentSource {
+  readonly isLinearizable = false;
   readonly #timer: TimerService;
   readonly #waiting = new Set<() => void>();
   readonly #documents: Record<DocumentKind, PublishedDocument>;
--- a/finding/mod.ts
+++ b/finding/mod.ts
@@ -2,7 +2,7 @@
  * Findings: problems in a document, collected with their places and reported together.
  *
  * ```ts
- * import { z } from 'zod';
+ * import * as z from 'zod';
  * import { SourceDocument, checkDocument, formatFinding } from 'rhubarbkeel';
  *
  * const source = new SourceDocument('a.jsonc', '{ "prot": 80 }');
--- a/instance/fleet.ts
+++ b/instance/fleet.ts
@@ -45,6 +45,6 @@
    */
   membersOf(pool: string): Instance[] {
     const members = this.#byPool.get(pool) ?? [];
-    return members.filter((instance) => instance.stage === LifeStage.Live);
+    return members.filter(({ stage }) => stage === LifeStage.Live || stage === LifeStage.Lapsed);
   }
 }
--- a/instance/instance.ts
+++ b/instance/instance.ts
@@ -5,6 +5,8 @@
   Live = 'live',
   /** Finishing what it holds; accepts nothing new. */
   Leaving = 'leaving',
+  /** Missing from the platform's list since an outage of the platform; may live all the same. */
+  Lapsed = 'lapsed',
 }
 
 /** One machine with a target and the daemon beside it. */
--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -1,11 +1,11 @@
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { serve, type HttpBindings } from '@hono/node-server';
-import { Hono } from 'hono';
 import { err, ok, type Result } from 'neverthrow';
 import {
   EMPTY_BODY,
   WholeBody,
+  abandonBody,
+  type Answer,
   type Body,
   type BodyChunk,
   type Headers as CallHeaders,
@@ -14,17 +14,23 @@
 import { sleep, type TimerService } from '../timer/mod.ts';
 import { endToEnd, pairHeaders } from './headers.ts';
 import type { HttpDialect } from './http_dialect.ts';
+import { listen, type ListenError } from './listen.ts';
 import { OwnDialect } from './own_dialect.ts';
 import { toProblem } from './problem.ts';
-import type { ListenError } from './listen_error.ts';
 
+/** Largest head of a request, in bytes; callers stay within it. */
 const MAX_HEADER_BYTES = 16_384;
-/** Statuses whose answers have no body. */
 /** Looks at whether the last answers are flushed, and the time between two, in milliseconds. */
 const CLOSE_LOOKS = 10;
 const CLOSE_LOOK_MS = 20;
 const BODILESS_STATUS = new Set([101, 204, 205, 304]);
-/** Headers of the hop between caller and daemon that are not passed to the target. */
+
+/** Bounds of callers' connections, in milliseconds. */
+export interface CallerLimits {
+  headerTimeoutMs: number;
+  /** Time for which a connection without a call stays open. */
+  idleTimeoutMs: number;
+}
 
 /** Options of {@linkcode CallerServer.listen}. */
 export interface CallerServerOptions {
@@ -37,9 +43,11 @@
   dialect?: HttpDialect;
   /** @returns Whether callers should open no further call on a connection. */
   isLeaving?: () => boolean;
+  /** @returns Bounds in force, if the configuration is known. */
+  limits?: () => CallerLimits | undefined;
 }
 
-/** Accepts calls over HTTP. */
+/** Accepts calls over HTTP; one task for each call, written straight down to the end of its answer. */
 export class CallerServer {
   readonly #server: Server;
 
@@ -51,30 +59,14 @@
    * @param options See {@linkcode CallerServerOptions}.
    * @returns The server once it listens, or why it cannot.
    */
-  static listen(options: CallerServerOptions): Promise<Result<CallerServer, ListenError>> {
+  static async listen(options: CallerServerOptions): Promise<Result<CallerServer, ListenError>> {
     const dialect = options.dialect ?? new OwnDialect();
-    const app = new Hono<{ Bindings: HttpBindings }>();
-    app.all('*', async (ctx) => {
-      const { incoming, outgoing } = ctx.env;
-      const req = toCallerRequest(incoming, outgoing, dialect);
-      const cut = () => {
-        // A reset, so that no client can take the part that was sent for the whole.
-        outgoing.socket?.resetAndDestroy();
-      };
-      const reply = await options.serve(req);
-      if (options.isLeaving?.()) outgoing.shouldKeepAlive = false;
-      return toResponse(reply, dialect, cut);
-    });
-    return new Promise((resolve) => {
-      const { port, host } = options;
-      const serverOptions = { maxHeaderSize: MAX_HEADER_BYTES };
-      const server = serve({ fetch: app.fetch, port, hostname: host, serverOptions }, () => {
-        resolve(ok(new CallerServer(server)));
-      }) as Server;
-      server.once('error', ({ message }) => {
-        resolve(err({ detail: message }));
+    const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (incoming, outgoing) => {
+      void serveCall(incoming, outgoing, { ...options, dialect }).then(() => {
+        applyLimits(server, options.limits?.());
       });
     });
+    return (await listen(server, options)).map(() => new CallerServer(server));
   }
 
   /** @returns The port that it listens on. */
@@ -89,11 +81,11 @@
    * @param timer The source of time.
    */
   async close(timer: TimerService): Promise<void> {
-    let isClosed = false;
+    const state = { isClosed: false };
     this.#server.close(() => {
-      isClosed = true;
+      state.isClosed = true;
     });
-    for (let look = 0; look < CLOSE_LOOKS && !isClosed; look += 1) {
+    for (let look = 0; look < CLOSE_LOOKS && !state.isClosed; look += 1) {
       this.#server.closeIdleConnections();
       await sleep(timer, CLOSE_LOOK_MS);
     }
@@ -101,6 +93,29 @@
   }
 }
 
+function applyLimits(server: Server, limits: CallerLimits | undefined): void {
+  if (!limits) return;
+  server.headersTimeout = limits.headerTimeoutMs;
+  server.keepAliveTimeout = limits.idleTimeoutMs;
+}
+
+async function serveCall(
+  incoming: IncomingMessage,
+  outgoing: ServerResponse,
+  { serve, isLeaving, dialect }: CallerServerOptions & { dialect: HttpDialect },
+): Promise<void> {
+  const { callId, result, nextKey } = await serve(toCallerRequest(incoming, outgoing, dialect));
+  if (isLeaving?.()) outgoing.shouldKeepAlive = false;
+  if (result.isOk()) {
+    await sendAnswer(outgoing, result.value, dialect.answerHeaders(callId, nextKey));
+    return;
+  }
+  const { status, headers, body } = toProblem(result.error, callId, dialect);
+  const own = dialect.refusalHeaders(callId, { ...result.error, nextKey });
+  outgoing.writeHead(status, { ...own, ...headers, 'content-length': Buffer.byteLength(body) });
+  outgoing.end(body);
+}
+
 function toCallerRequest(
   incoming: IncomingMessage,
   outgoing: ServerResponse,
@@ -146,7 +161,10 @@
   return length === undefined ? undefined : Number(length);
 }
 
-/** Reads a stream of the platform as a body; a broken stream is a cut, not an exception. */
+/**
+ * @param stream A stream of bytes.
+ * @returns The same bytes as a body; an error of the stream becomes its cut.
+ */
 export async function* readBody(stream: AsyncIterable<Uint8Array>): AsyncGenerator<BodyChunk> {
   try {
     for await (const bytes of stream) yield ok(bytes);
@@ -155,51 +173,46 @@
   }
 }
 
-function toResponse(
-  { callId, result, nextKey }: CallerReply,
-  dialect: HttpDialect,
-  cut: () => void,
-): Response {
-  if (result.isErr()) {
-    const { status, headers, body } = toProblem(result.error, callId, dialect);
-    const own = dialect.refusalHeaders(callId, { ...result.error, nextKey });
-    return new Response(body, { status, headers: { ...own, ...headers } });
+async function sendAnswer(
+  outgoing: ServerResponse,
+  { status, headers, body }: Answer,
+  own: Readonly<Record<string, string>>,
+): Promise<void> {
+  const sent = [...headers.filter(([name]) => !(name in own)), ...Object.entries(own)].flat();
+  if (BODILESS_STATUS.has(status)) {
+    outgoing.writeHead(status, sent).end();
+    await abandonBody(body);
+    return;
   }
-  const { status, headers, body } = result.value;
-  const own = dialect.answerHeaders(callId, nextKey);
-  const content = BODILESS_STATUS.has(status) ? null : toResponseBody(body, cut);
-  return new Response(content, { status, headers: mergeHeaders(headers, own) });
+  if (body instanceof WholeBody) {
+    const isSized = headers.some(([name]) => name === 'content-length');
+    if (!isSized) sent.push('content-length', String(body.bytes.length));
+    outgoing.writeHead(status, sent).end(body.bytes);
+    return;
+  }
+  outgoing.writeHead(status, sent);
+  await sendBody(outgoing, body);
 }
 
-/** A plain record is cheaper for the server than a list, but holds each name only once. */
-function mergeHeaders(
-  headers: CallHeaders,
-  own: Readonly<Record<string, string>>,
-): Record<string, string> | [string, string][] {
-  const record: Record<string, string> = Object.fromEntries(headers);
-  const hasRepeats = Object.keys(record).length < headers.length;
-  if (!hasRepeats) return { ...record, ...own };
-  const kept = headers.filter(([name]) => !(name in own));
-  return [...kept, ...Object.entries(own)].map(([name, value]): [string, string] => [name, value]);
+async function sendBody(outgoing: ServerResponse, body: Body): Promise<void> {
+  for await (const chunk of body) {
+    if (chunk.isErr()) {
+      // A reset, so that no client can take the part that was sent for the whole.
+      outgoing.socket?.resetAndDestroy();
+      return;
+    }
+    if (!outgoing.write(chunk.value)) await drained(outgoing);
+    if (outgoing.destroyed) return;
+  }
+  outgoing.end();
 }
 
-function toResponseBody(
-  body: Body,
-  cut: () => void,
-): Uint8Array<ArrayBuffer> | ReadableStream<Uint8Array> {
-  if (body instanceof WholeBody) return body.bytes as Uint8Array<ArrayBuffer>;
-  const chunks = body[Symbol.asyncIterator]();
-  return new ReadableStream<Uint8Array>({
-    pull: async (controller) => {
-      const item = await chunks.next();
-      if (item.done) controller.close();
-      else if (item.value.isErr()) {
-        cut();
-        controller.close();
-      } else controller.enqueue(item.value.value);
-    },
-    cancel: async () => {
-      await chunks.return?.();
-    },
+function drained(outgoing: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    const done = () => {
+      outgoing.off('drain', done).off('close', done);
+      resolve();
+    };
+    outgoing.on('drain', done).on('close', done);
   });
 }
--- /dev/null
+++ b/link/listen.ts
@@ -0,0 +1,26 @@
+import type { Server } from 'node:http';
+import { err, ok, type Result } from 'neverthrow';
+
+/** Why a server cannot listen. */
+export interface ListenError {
+  detail: string;
+}
+
+/**
+ * @param server The server to start.
+ * @param address Where to listen; port zero for any.
+ * @returns Nothing once it listens, or why it cannot.
+ */
+export function listen(
+  server: Server,
+  { host, port }: { host: string; port: number },
+): Promise<Result<void, ListenError>> {
+  return new Promise((resolve) => {
+    server.once('error', ({ message }) => {
+      resolve(err({ detail: message }));
+    });
+    server.listen(port, host, () => {
+      resolve(ok(undefined));
+    });
+  });
+}
--- a/link/listen_error.ts
+++ /dev/null
@@ -1,4 +0,0 @@
-/** Why a server cannot accept connections. */
-export interface ListenError {
-  detail: string;
-}
--- a/link/mod.ts
+++ b/link/mod.ts
@@ -26,7 +26,7 @@
 export * from './headers.ts';
 export * from './http_dialect.ts';
 export * from './link_table.ts';
-export * from './listen_error.ts';
+export * from './listen.ts';
 export * from './operator_server.ts';
 export * from './own_dialect.ts';
 export * from './peer_link.ts';
--- a/link/operator_server.ts
+++ b/link/operator_server.ts
@@ -1,9 +1,7 @@
-import type { Server } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { err, ok, type Result } from 'neverthrow';
-import { serve } from '@hono/node-server';
-import { Hono } from 'hono';
-import type { ListenError } from './listen_error.ts';
+import type { Result } from 'neverthrow';
+import { listen, type ListenError } from './listen.ts';
 
 /** What operators may ask a daemon. */
 export interface OperatorView {
@@ -28,7 +26,9 @@
   view: OperatorView;
 }
 
-/** Answers operators over HTTP. */
+const EXPLAIN_PATH = '/explain/';
+
+/** Answers operators over HTTP: `/health`, `/status`, `/routes` and `/explain/CALL`. */
 export class OperatorServer {
   readonly #server: Server;
 
@@ -40,26 +40,13 @@
    * @param options See {@linkcode OperatorServerOptions}.
    * @returns The server once it listens, or why it cannot.
    */
-  static listen({
-    host,
-    port,
-    view,
-  }: OperatorServerOptions): Promise<Result<OperatorServer, ListenError>> {
-    const app = new Hono();
-    app.get('/health', (ctx) =>
-      ctx.json({ serving: view.isServing() }, view.isServing() ? 200 : 503),
-    );
-    app.get('/status', (ctx) => ctx.json(view.status()));
-    app.get('/routes', (ctx) => ctx.json(view.routes()));
-    app.get('/explain/:call', (ctx) => ctx.json(view.explain(ctx.req.param('call'))));
-    return new Promise((resolve) => {
-      const server = serve({ fetch: app.fetch, port, hostname: host }, () => {
-        resolve(ok(new OperatorServer(server)));
-      }) as Server;
-      server.once('error', ({ message }) => {
-        resolve(err({ detail: message }));
-      });
+  static async listen(
+    options: OperatorServerOptions,
+  ): Promise<Result<OperatorServer, ListenError>> {
+    const server = createServer((incoming, outgoing) => {
+      answer(incoming.url ?? '/', outgoing, options.view);
     });
+    return (await listen(server, options)).map(() => new OperatorServer(server));
   }
 
   /** @returns The port that it listens on. */
@@ -73,3 +60,23 @@
     this.#server.closeAllConnections();
   }
 }
+
+function answer(path: string, outgoing: ServerResponse, view: OperatorView): void {
+  if (path === '/health') {
+    const serving = view.isServing();
+    sendJson(outgoing, serving ? 200 : 503, { serving });
+  } else if (path === '/status') sendJson(outgoing, 200, view.status());
+  else if (path === '/routes') sendJson(outgoing, 200, view.routes());
+  else if (path.startsWith(EXPLAIN_PATH)) {
+    sendJson(outgoing, 200, view.explain(decodeURIComponent(path.slice(EXPLAIN_PATH.length))));
+  } else sendJson(outgoing, 404, { detail: `expected a path of an operator, got ${path}` });
+}
+
+function sendJson(outgoing: ServerResponse, status: number, value: object): void {
+  const text = JSON.stringify(value);
+  outgoing.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  outgoing.end(text);
+}
--- a/link/peer_server.ts
+++ b/link/peer_server.ts
@@ -3,7 +3,7 @@
 import { WebSocketServer } from 'ws';
 import type { FrameChannel } from './frame_channel.ts';
 import { MAX_MESSAGE_BYTES, WsChannel } from './ws_channel.ts';
-import type { ListenError } from './listen_error.ts';
+import type { ListenError } from './listen.ts';
 
 /** Options of {@linkcode PeerServer.listen}. */
 export interface PeerServerOptions {
--- a/settings/settings.ts
+++ b/settings/settings.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 import { SourceDocument, checkDocument, type Finding } from '../finding/mod.ts';
 import { ForeignEntry } from '../entry/mod.ts';
 import { PickerKind } from '../placement/mod.ts';
@@ -8,13 +8,10 @@
 
 const port = z.int().min(0).max(65_535);
 /** Where to listen: host and port apart, or as `host:port`. */
-const listener = z.union([
+const listener = z.preprocess(
+  splitAddress,
   z.strictObject({ host: z.string().default('127.0.0.1'), port }),
-  z
-    .string()
-    .regex(/^[^:]+:\d{1,5}$/, { error: 'expected "host:port"' })
-    .transform(splitAddress),
-]);
+);
 /** Milliseconds, or a time such as "1500ms" or "2.5s". */
 const duration = z.union([z.number().min(0), durationMs]);
 /** Further attempts of a pool in a burst: enough for one failed target at a few calls each. */
@@ -111,7 +108,8 @@
   return checkDocument(new SourceDocument(file, text), settingsSchema).map(({ value }) => value);
 }
 
-function splitAddress(address: string): { host: string; port: number } {
-  const [host = '', port = ''] = address.split(':');
+function splitAddress(value: unknown): unknown {
+  if (typeof value !== 'string') return value;
+  const [host = '', port = ''] = value.split(':');
   return { host, port: Number(port) };
 }
