End links that fall silent while answers are awaited on them

Cause: a link to a daemon that was cut off or lost power held each call until its deadline, and was given up after 15 s only. Changed: a link with open exchanges asks for a sign of life after 200 ms of silence and ends 500 ms later without one; dials give up after 400 ms and back off up to 1.6 s. An idle link costs nothing more. Ruled out: shorter keepalives on all links (their bytes between regions cost more than the requests).

--- a/event_log/event.ts
+++ b/event_log/event.ts
@@ -11,6 +11,7 @@
   AttemptSettled = 'attempt-settled',
   LinkOpened = 'link-opened',
   LinkClosed = 'link-closed',
+  LinkStalled = 'link-stalled',
   LinkRejected = 'link-rejected',
   ConfigurationApplied = 'configuration-applied',
   ConfigurationRejected = 'configuration-rejected',
--- a/link/dialer.ts
+++ b/link/dialer.ts
@@ -17,7 +17,8 @@
   dial(address: string): Promise<Result<FrameChannel, DialError>>;
 }
 
-const DIAL_TIMEOUT_MS = 1_000;
+/** Longest wait for a connection and its upgrade, in milliseconds: several round trips between regions. */
+const DIAL_TIMEOUT_MS = 400;
 
 /** A {@linkcode Dialer} over WebSocket. */
 export class WsDialer implements Dialer {
--- a/link/link_table.ts
+++ b/link/link_table.ts
@@ -12,6 +12,8 @@
 
 /** Time after a failed try during which no other is made, in milliseconds. */
 const DIAL_BACKOFF_MS = 100;
+/** Longest time between two dials of a peer that cannot be reached, in milliseconds. */
+const MAX_BACKOFF_MS = 1_600;
 
 /** What a {@linkcode LinkTable} needs. */
 export interface LinkTableOptions {
@@ -29,7 +31,7 @@
   readonly #options: LinkTableOptions;
   readonly #links = new Map<string, Set<PeerLink>>();
   readonly #dialing = new Map<string, Promise<Result<PeerPort, Refusal>>>();
-  readonly #failedAtMs = new Map<string, number>();
+  readonly #failures = new Map<string, { atMs: number; inRow: number }>();
   readonly #own: PeerPort;
 
   /** @param options See {@linkcode LinkTableOptions}. */
@@ -109,20 +111,21 @@
   }
 
   #fail(instance: Instance, detail: string): Result<PeerPort, Refusal> {
-    this.#failedAtMs.set(instance.id, this.#options.services.timer.now());
+    const inRow = (this.#failures.get(instance.id)?.inRow ?? 0) + 1;
+    this.#failures.set(instance.id, { atMs: this.#options.services.timer.now(), inRow });
     return err(unreachable(instance, detail));
   }
 
   #isBackingOff(instanceId: string): boolean {
-    const failedAtMs = this.#failedAtMs.get(instanceId);
-    if (failedAtMs === undefined) return false;
-    if (this.#options.services.timer.now() - failedAtMs < DIAL_BACKOFF_MS) return true;
-    this.#failedAtMs.delete(instanceId);
-    return false;
+    const failed = this.#failures.get(instanceId);
+    if (!failed) return false;
+    const backoffMs = Math.min(MAX_BACKOFF_MS, DIAL_BACKOFF_MS * 2 ** (failed.inRow - 1));
+    return this.#options.services.timer.now() - failed.atMs < backoffMs;
   }
 
   #add(channel: FrameChannel, peer: HelloFrame, isDialer: boolean): PeerLink {
     const { services, onOpen } = this.#options;
+    this.#failures.delete(peer.instanceId);
     const link = new PeerLink({ channel, peer, isDialer, services });
     const links = this.#links.get(peer.instanceId) ?? new Set();
     links.add(link);
--- a/link/mod.ts
+++ b/link/mod.ts
@@ -32,6 +32,7 @@
 export * from './peer_link.ts';
 export * from './peer_server.ts';
 export * from './problem.ts';
+export * from './stall_watch.ts';
 export * from './stream_body.ts';
 export * from './target_client.ts';
 export * from './ws_channel.ts';
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -40,6 +40,7 @@
   type SettleFrame,
 } from './frame.ts';
 import type { FrameChannel } from './frame_channel.ts';
+import { StallWatch } from './stall_watch.ts';
 import { StreamBody } from './stream_body.ts';
 
 /** Largest part of a body in one frame, in bytes. */
@@ -89,6 +90,7 @@
   readonly #sent = new Map<number, Pending>();
   readonly #received = new Map<number, Exchange>();
   readonly #keepalive: Subscription;
+  readonly #stall: StallWatch;
   #nextStream: number;
   #lastHeardMs: number;
   #lastSentMs: number;
@@ -102,6 +104,17 @@
     this.#nextStream = options.isDialer ? 1 : 2;
     this.#lastHeardMs = options.services.timer.now();
     this.#lastSentMs = this.#lastHeardMs;
+    this.#stall = new StallWatch(options.services.timer, {
+      isWaiting: () => this.#sent.size > 0,
+      ping: () => {
+        this.sendFrame({ kind: FrameKind.Ping });
+      },
+      onStalled: () => {
+        const { instanceId } = this.peer;
+        this.#services.log.write(Event.LinkStalled, { peer: instanceId, pending: this.#sent.size });
+        this.terminate();
+      },
+    });
     this.#keepalive = options.services.timer.every(KEEPALIVE_PERIOD_MS, () => {
       this.#checkSilence();
     });
@@ -135,6 +148,7 @@
         break;
       }
       this.#lastHeardMs = this.#services.timer.now();
+      this.#stall.recordHeard();
       this.#handle(received.value);
     }
     this.terminate();
@@ -182,6 +196,7 @@
     if (!this.#isOpen) return;
     this.#isOpen = false;
     this.#keepalive.cancel();
+    this.#stall.close();
     this.#channel.terminate();
     for (const { exchange, resolve } of this.#sent.values()) {
       exchange.cut('the link ended');
@@ -195,6 +210,7 @@
   #begin(): { exchange: Exchange; result: Promise<AttemptResult> } {
     const exchange = new Exchange(this.#nextStream);
     this.#nextStream += 2;
+    this.#stall.begin();
     const result = new Promise<AttemptResult>((resolve) => {
       this.#sent.set(exchange.stream, { exchange, resolve });
     });
--- a/tap-snapshots/dist/tooling/examples_test.js.test.cjs
+++ b/tap-snapshots/dist/tooling/examples_test.js.test.cjs
@@ -20,6 +20,7 @@
   "link: 0 failed",
   "metrics: 0 failed",
   "placement: 0 failed",
+  "platform: 0 failed",
   "random: 0 failed",
   "settings: 0 failed",
   "spread: 0 failed",
