Test the platform's edge, misbehaving targets and the new decisions

Found by them: an answer without a length that ended well was taken for reset. Before: 'no answer: broken'; after: '200 to the end', the reset one still broken.

--- a/fakes/example_configuration.ts
+++ b/fakes/example_configuration.ts
@@ -41,6 +41,7 @@
       { ...board, name: 'read-hall', path: '/halls', quarantine: true },
       { ...result, name: 'post-result', workspace: 'plata' },
       { ...result, name: 'post-norte-result', workspace: 'norte-club' },
+      { ...result, name: 'post-entry', path: '/entries', workspace: 'plata', issuedKeys: false },
     ],
   });
 }
--- /dev/null
+++ b/guard/cold_rate_test.ts
@@ -0,0 +1,40 @@
+import t from 'tap';
+import { VirtualTimer } from '../timer/mod.ts';
+import { WarmUp } from './mod.ts';
+
+const SLOTS = 6;
+const STEP_MS = 20;
+const COLD_PER_SECOND = 8.6;
+
+void t.test(
+  'warmUp.limit() bounds the rate of a cold target until it says that it is warm',
+  async (t) => {
+    const timer = new VirtualTimer();
+    const warmUp = new WarmUp(timer, () => ({
+      coldSlots: 1,
+      coldMs: 3_000,
+      coldPerSecond: COLD_PER_SECOND,
+    }));
+    const admitFor = async (durationMs: number) => {
+      let admitted = 0;
+      for (let passedMs = 0; passedMs < durationMs; passedMs += STEP_MS) {
+        while (warmUp.limit(SLOTS, 0) > 0 && admitted < 1_000) {
+          if (!warmUp.isCold(SLOTS)) return 'no bound';
+          warmUp.recordStart();
+          admitted += 1;
+        }
+        await timer.advance(STEP_MS);
+      }
+      return `${admitted} admitted`;
+    };
+    const seen = [`unknown, 1 s: ${await admitFor(1_000)}`];
+    warmUp.coldFor(1_000);
+    seen.push(`cold, 1 s: ${await admitFor(1_000)}`);
+    seen.push(`warm: ${await admitFor(1_000)}`);
+    warmUp.restart();
+    seen.push(`restarted, 2 s: ${await admitFor(2_000)}`);
+    warmUp.coldFor(0);
+    seen.push(`said to be warm: ${await admitFor(1_000)}`);
+    t.matchSnapshot(seen, 'admitted calls');
+  },
+);
--- a/guard/mod.ts
+++ b/guard/mod.ts
@@ -19,5 +19,6 @@
 export * from './quarantine.ts';
 export * from './service_clock.ts';
 export * from './target_health.ts';
+export * from './target_pace.ts';
 export * from './target_port.ts';
 export * from './warm_up.ts';
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -45,8 +45,8 @@
   readonly #dialect: HttpDialect;
   /** Connections that were reset so far. */
   #resets = 0;
-  readonly #onSocketError = () => {
-    this.#resets += 1;
+  readonly #onSocketError = ({ code }: NodeJS.ErrnoException) => {
+    if (code === 'ECONNRESET') this.#resets += 1;
   };
 
   /**
--- a/matrix/run_case.ts
+++ b/matrix/run_case.ts
@@ -18,6 +18,8 @@
   Keyed = 'keyed',
   Bound = 'bound',
   Idempotent = 'idempotent',
+  /** Runs at most once, and its caller cannot ask again. */
+  Keyless = 'keyless',
 }
 
 /** One case of the fault matrix. */
@@ -110,7 +112,8 @@
 
   async play(): Promise<CaseResult> {
     const { type, step } = this.#case;
-    const key = type === CallType.Idempotent ? undefined : await this.#issueKey();
+    const hasKey = type === CallType.Keyed || type === CallType.Bound;
+    const key = hasKey ? await this.#issueKey() : undefined;
     this.#world.network.filter = (transit) => this.#filter(transit);
     this.#isArmed = true;
     this.#key = key;
@@ -147,6 +150,8 @@
   }
 
   #resend(): void {
+    // Sent again, a keyless call would be another call.
+    if (this.#case.type === CallType.Keyless) return;
     const isBound = this.#case.type === CallType.Bound;
     const others = this.#world.members.filter(
       ({ instance }) => instance.id !== this.#owner.instance.id,
@@ -260,6 +265,9 @@
 
 function callOf(type: CallType): WorldCall {
   if (type === CallType.Idempotent) return { target: '/boards/3', runId: RUN_ID };
+  if (type === CallType.Keyless) {
+    return { method: 'POST', target: '/entries', body: '1-0', runId: RUN_ID };
+  }
   const workspace = type === CallType.Bound ? 'norte-club' : 'plata';
   return { method: 'POST', target: '/results', body: '1-0', runId: RUN_ID, workspace };
 }
--- a/stand_in/mod.ts
+++ b/stand_in/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 export * from './platform_stand_in.ts';
+export * from './store_stand_in.ts';
 export * from './target_stand_in.ts';
--- /dev/null
+++ b/tap-snapshots/dist/platform/platform_dialect_test.js.test.cjs
@@ -0,0 +1,155 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`dist/platform/platform_dialect_test.js > TAP > PlatformDialect.readTarget() reads what targets say of their answers > fields 1`] = `
+Object {
+  "another run": Object {
+    "callId": undefined,
+    "coldMs": 0,
+    "isGenuine": true,
+    "load": undefined,
+    "shed": true,
+    "targetId": "i-02",
+  },
+  "cold in milliseconds": Object {
+    "callId": undefined,
+    "coldMs": 1500,
+    "isGenuine": false,
+    "load": undefined,
+    "shed": false,
+    "targetId": "i-1",
+  },
+  "cold in seconds": Object {
+    "callId": undefined,
+    "coldMs": 2500,
+    "isGenuine": false,
+    "load": undefined,
+    "shed": false,
+    "targetId": "i-1",
+  },
+  "cold in words": Object {
+    "callId": undefined,
+    "coldMs": 0,
+    "isGenuine": false,
+    "load": undefined,
+    "shed": false,
+    "targetId": "i-1",
+  },
+  "cold without a unit": Object {
+    "callId": undefined,
+    "coldMs": 700,
+    "isGenuine": false,
+    "load": undefined,
+    "shed": false,
+    "targetId": "i-1",
+  },
+  "load of words": Object {
+    "callId": "9c41",
+    "coldMs": 0,
+    "isGenuine": true,
+    "load": undefined,
+    "shed": false,
+    "targetId": undefined,
+  },
+  "load too short": Object {
+    "callId": "9c41",
+    "coldMs": 0,
+    "isGenuine": true,
+    "load": undefined,
+    "shed": false,
+    "targetId": undefined,
+  },
+  "load with its pace": Object {
+    "callId": "9c41",
+    "coldMs": 0,
+    "isGenuine": true,
+    "load": Object {
+      "running": 3,
+      "slots": 8,
+      "slowdown": 4,
+      "waiting": 1,
+    },
+    "shed": false,
+    "targetId": undefined,
+  },
+  "load without pace": Object {
+    "callId": "9c41",
+    "coldMs": 0,
+    "isGenuine": true,
+    "load": Object {
+      "running": 3,
+      "slots": 8,
+      "slowdown": 1,
+      "waiting": 1,
+    },
+    "shed": false,
+    "targetId": undefined,
+  },
+  "shed": Object {
+    "callId": undefined,
+    "coldMs": 0,
+    "isGenuine": true,
+    "load": undefined,
+    "shed": true,
+    "targetId": undefined,
+  },
+  "signed": Object {
+    "callId": "9c41",
+    "coldMs": 0,
+    "isGenuine": true,
+    "load": undefined,
+    "shed": false,
+    "targetId": undefined,
+  },
+  "unsigned failure": Object {
+    "callId": undefined,
+    "coldMs": 0,
+    "isGenuine": true,
+    "load": undefined,
+    "shed": false,
+    "targetId": undefined,
+  },
+  "unsigned success": Object {
+    "callId": "9c41",
+    "coldMs": 0,
+    "isGenuine": false,
+    "load": undefined,
+    "shed": false,
+    "targetId": undefined,
+  },
+}
+`
+
+exports[`dist/platform/platform_dialect_test.js > TAP > PlatformDialect.targetHeaders() names the deadline, the caller and the run > known run 1`] = `
+Array [
+  Array [
+    "request-deadline",
+    "811",
+  ],
+  Array [
+    "caller-service",
+    "boards",
+  ],
+  Array [
+    "target-instance",
+    "i-1",
+  ],
+]
+`
+
+exports[`dist/platform/platform_dialect_test.js > TAP > PlatformDialect.targetHeaders() names the deadline, the caller and the run > unknown run 1`] = `
+Array [
+  Array [
+    "request-deadline",
+    "1",
+  ],
+  Array [
+    "caller-service",
+    "boards",
+  ],
+]
+`
