Write logs without waiting, serve metrics, and log the guard's refusals

Cause: the users' on-call engineers have only logs and metrics: logs went to standard error in blocking writes, and metrics were pushed by StatsD only. Waits with a time limit no longer abort a controller each time. Ruled out: loading the metrics library at the start (110 ms of a whole core).

--- /dev/null
+++ b/daemon/connect_platform.ts
@@ -0,0 +1,40 @@
+import { HttpSource, type DocumentSource } from '../configuration/mod.ts';
+import type { EventLog } from '../event_log/mod.ts';
+import { OwnDialect, type HttpDialect } from '../link/mod.ts';
+import { PlatformDialect, StoreClient, StoreSource } from '../platform/mod.ts';
+import { PlatformKind, type Settings } from '../settings/mod.ts';
+import type { TimerService } from '../timer/mod.ts';
+
+/** Reads from the platform until it is closed. */
+export interface ClosableSource extends DocumentSource {
+  close(): Promise<void>;
+}
+
+/**
+ * @param settings Settings of the daemon.
+ * @param log Receives what cannot be read.
+ * @param timer The source of time.
+ * @returns The headers that the platform's callers and targets use, and its documents.
+ */
+export function connectPlatform(
+  { platform, callers, peers }: Settings,
+  log: EventLog,
+  timer: TimerService,
+): { dialect: HttpDialect; source: ClosableSource } {
+  const { url, kind, regions, retryPercent } = platform;
+  switch (kind) {
+    case PlatformKind.Documents:
+      return { dialect: new OwnDialect(), source: new HttpSource(url) };
+    case PlatformKind.Store:
+      return {
+        dialect: new PlatformDialect(),
+        source: new StoreSource({
+          client: new StoreClient(url),
+          log,
+          timer,
+          ports: { callers: callers.port, peers: peers.port },
+          rules: { regions, retryPercent },
+        }),
+      };
+  }
+}
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -6,19 +6,18 @@
 import {
   CallerServer,
   OperatorServer,
-  OwnDialect,
   PeerServer,
   TargetClient,
   WsDialer,
-  type HttpDialect,
   type ListenError,
+  type OperatorView,
 } from '../link/mod.ts';
-import { Metric, NoMetrics, StatsdMetrics, type Metrics } from '../metrics/mod.ts';
-import { HttpSource, type DocumentSource } from '../configuration/mod.ts';
-import { PlatformDialect, StoreClient, StoreSource } from '../platform/mod.ts';
-import { PlatformKind, type Settings } from '../settings/mod.ts';
+import { Metric, type Metrics } from '../metrics/mod.ts';
+import type { Settings } from '../settings/mod.ts';
 import { RealTimer, type Subscription, type TimerService } from '../timer/mod.ts';
+import { connectPlatform, type ClosableSource } from './connect_platform.ts';
 import { Daemon } from './daemon.ts';
+import { loadMetrics } from './load_metrics.ts';
 
 const GAUGE_PERIOD_MS = 1_000;
 
@@ -37,6 +36,7 @@
   readonly #metrics: Metrics;
   readonly #gauges: Subscription;
   readonly #timer: TimerService;
+  readonly #scraped: OperatorServer | undefined;
 
   private constructor(
     daemon: Daemon,
@@ -47,6 +47,7 @@
       metrics: Metrics;
       gauges: Subscription;
       timer: TimerService;
+      scraped: OperatorServer | undefined;
     },
   ) {
     this.daemon = daemon;
@@ -56,6 +57,7 @@
     this.#metrics = parts.metrics;
     this.#gauges = parts.gauges;
     this.#timer = parts.timer;
+    this.#scraped = parts.scraped;
   }
 
   /**
@@ -71,9 +73,11 @@
     const timer = new RealTimer();
     const { dialect, source: platform } = connectPlatform(settings, log, timer);
     const target = new TargetClient(settings.target.url, { ...settings.target, dialect });
-    const metrics = makeMetrics(settings);
+    const metrics = loadMetrics(settings, timer);
     const dialer = new WsDialer();
     const daemon = new Daemon({ settings, timer, log, dialer, platform, target });
+    const view = operatorView(daemon, metrics);
+    const { metricsListener } = settings;
     const listening = await Promise.all([
       CallerServer.listen({
         ...settings.callers,
@@ -83,16 +87,27 @@
         serve: (req) => serveMeasured(daemon, req, { timer, metrics }),
       }),
       PeerServer.listen({ ...settings.peers, serve: (channel) => daemon.accept(channel) }),
-      OperatorServer.listen({ ...settings.operators, view: operatorView(daemon) }),
+      OperatorServer.listen({ ...settings.operators, view }),
     ]);
     const servers = Result.combineWithAllErrors(listening);
     if (servers.isErr()) return err(servers.error);
     const [callers, peers, operators] = servers.value;
+    const scraped = metricsListener
+      ? await OperatorServer.listen({ ...metricsListener, view })
+      : undefined;
+    if (scraped?.isErr()) return err([scraped.error]);
     const gauges = timer.every(GAUGE_PERIOD_MS, () => {
       sendGauges(daemon, metrics);
     });
     void daemon.start();
-    const parts = { target, platform, metrics, gauges, timer };
+    const parts = {
+      target,
+      platform,
+      metrics,
+      gauges,
+      timer,
+      scraped: scraped?.unwrapOr(undefined),
+    };
     return ok(new DaemonProcess(daemon, { callers, peers, operators }, parts));
   }
 
@@ -117,6 +132,7 @@
     await this.#servers.callers.close(this.#timer);
     this.#servers.peers.close();
     this.#servers.operators.close();
+    this.#scraped?.close();
     this.#gauges.cancel();
     this.#metrics.close();
     await this.#target.close();
@@ -124,38 +140,6 @@
   }
 }
 
-/** Reads from the platform until it is closed. */
-interface ClosableSource extends DocumentSource {
-  close(): Promise<void>;
-}
-
-function connectPlatform(
-  { platform, callers, peers }: Settings,
-  log: EventLog,
-  timer: TimerService,
-): { dialect: HttpDialect; source: ClosableSource } {
-  const { url, kind, regions, retryPercent } = platform;
-  switch (kind) {
-    case PlatformKind.Documents:
-      return { dialect: new OwnDialect(), source: new HttpSource(url) };
-    case PlatformKind.Store:
-      return {
-        dialect: new PlatformDialect(),
-        source: new StoreSource({
-          client: new StoreClient(url),
-          log,
-          timer,
-          ports: { callers: callers.port, peers: peers.port },
-          rules: { regions, retryPercent },
-        }),
-      };
-  }
-}
-
-function makeMetrics({ metrics, instance }: Settings): Metrics {
-  return metrics ? new StatsdMetrics({ ...metrics, instanceId: instance.id }) : new NoMetrics();
-}
-
 async function serveMeasured(
   daemon: Daemon,
   req: CallerRequest,
@@ -169,11 +153,12 @@
   return reply;
 }
 
-function operatorView(daemon: Daemon) {
+function operatorView(daemon: Daemon, metrics: Metrics): OperatorView {
   return {
     isServing: () => daemon.stage === LifeStage.Live,
     status: () => daemon.status,
     routes: () => (daemon.configuration?.routes.routes ?? []).map(describeRoute),
+    metrics: () => metrics.text(),
     explain: (callId: string) => daemon.journal.linesWith('call', callId),
   };
 }
--- a/entry/hedge.ts
+++ b/entry/hedge.ts
@@ -1,5 +1,5 @@
 import type { AttemptResult, Call } from '../contract/mod.ts';
-import { sleep, type TimerService } from '../timer/mod.ts';
+import { within, type TimerService } from '../timer/mod.ts';
 
 /** Times the mean execution after which a call counts as slow. */
 const SLOW_FACTOR = 5;
@@ -62,11 +62,7 @@
   timer: TimerService,
   delayMs: number,
 ): Promise<boolean> {
-  const done = new AbortController();
-  const slow = sleep(timer, delayMs, { signal: done.signal }).then(() => true);
-  const isPending = await Promise.race([pending.then(() => false), slow]);
-  done.abort();
-  return isPending;
+  return (await within(timer, delayMs, pending)) === undefined;
 }
 
 /** An attempt that fails waits for the other one; if both fail, the first counts. */
--- a/entry/settle_attempt.ts
+++ b/entry/settle_attempt.ts
@@ -10,7 +10,7 @@
 } from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
 import type { Instance } from '../instance/mod.ts';
-import { sleep, type TimerService } from '../timer/mod.ts';
+import { sleep, within, type TimerService } from '../timer/mod.ts';
 import type { PeerDirectory, PeerPort } from './peer_directory.ts';
 
 /** Wait between two tries to reach the executor, in milliseconds. */
@@ -85,13 +85,7 @@
   timer: TimerService,
   timeoutMs: number,
 ): Promise<AttemptResult> {
-  const done = new AbortController();
-  const late = sleep(timer, timeoutMs, { signal: done.signal }).then((): AttemptResult =>
-    err(lost('the executor was silent')),
-  );
-  const result = await Promise.race([pending, late]);
-  done.abort();
-  return result;
+  return (await within(timer, timeoutMs, pending)) ?? err(lost('the executor was silent'));
 }
 
 function isFinal(kind: FailureKind): boolean {
--- a/event_log/console_log.ts
+++ b/event_log/console_log.ts
@@ -1,21 +1,36 @@
 import { createConsola, type ConsolaInstance } from 'consola';
-import { formatEvent, type Event, type Fields } from './event.ts';
+import { SonicBoom } from 'sonic-boom';
+import { Event, formatEvent, type Fields } from './event.ts';
 import type { EventLog } from './event_log.ts';
 
+const STANDARD_OUTPUT = 1;
+/** Bytes that wait for a slow reader; further lines are dropped and counted. */
+const MAX_WAITING_BYTES = 4_194_304;
+
 /**
- * Writes each event as one line to standard error. Lines of one turn of the
- * event loop are written together.
+ * Writes each event as one line to standard output, without ever waiting for
+ * its reader. Lines of one turn of the event loop are written together.
  */
 export class ConsoleLog implements EventLog {
   readonly #consola: ConsolaInstance;
+  readonly #output: SonicBoom;
   #lines: string[] = [];
+  #dropped = 0;
 
   constructor() {
+    this.#output = new SonicBoom({
+      fd: STANDARD_OUTPUT,
+      sync: false,
+      maxLength: MAX_WAITING_BYTES,
+    });
+    this.#output.on('drop', (text: string | Buffer) => {
+      this.#dropped += String(text).split('\n').length - 1;
+    });
     this.#consola = createConsola({
       reporters: [
         {
           log: ({ date, args }) => {
-            writeLines(date, args as string[]);
+            this.#writeLines(date, args as string[]);
           },
         },
       ],
@@ -25,21 +40,29 @@
   write(event: Event, fields: Fields): void {
     if (this.#lines.length === 0) {
       setImmediate(() => {
-        this.flush();
+        this.#pass();
       });
     }
     this.#lines.push(formatEvent(event, fields));
   }
 
-  /** Writes what has not been written yet. */
+  /** Writes what has not been written yet, before the process ends. */
   flush(): void {
+    this.#pass();
+    this.#output.flushSync();
+  }
+
+  #pass(): void {
     const [first, ...others] = this.#lines;
     this.#lines = [];
     if (first !== undefined) this.#consola.log(first, ...others);
   }
-}
 
-function writeLines(date: Date, lines: readonly string[]): void {
-  const time = date.toISOString();
-  process.stderr.write(lines.map((line) => `time=${time} ${line}\n`).join(''));
+  #writeLines(date: Date, lines: readonly string[]): void {
+    const dropped = this.#dropped;
+    this.#dropped = 0;
+    const all = dropped > 0 ? [...lines, formatEvent(Event.LinesDropped, { dropped })] : lines;
+    const time = date.toISOString();
+    this.#output.write(all.map((line) => `time=${time} ${line}\n`).join(''));
+  }
 }
--- a/event_log/event.ts
+++ b/event_log/event.ts
@@ -21,6 +21,8 @@
   TargetWarm = 'target-warm',
   FingerprintQuarantined = 'fingerprint-quarantined',
   KeysHandedOver = 'keys-handed-over',
+  AttemptRefused = 'attempt-refused',
+  LinesDropped = 'lines-dropped',
   TaskFailed = 'task-failed',
 }
 
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -24,8 +24,8 @@
   type Pool,
   type Refusal,
 } from '../contract/mod.ts';
-import type { EventLog } from '../event_log/mod.ts';
-import { sleep, type Subscription, type TimerService } from '../timer/mod.ts';
+import { Event, type EventLog } from '../event_log/mod.ts';
+import { within, type Subscription, type TimerService } from '../timer/mod.ts';
 import { AttemptLedger } from './attempt_ledger.ts';
 import { makeLimit, type ConcurrencyLimit, type LimitKind } from './concurrency_limit.ts';
 import { Gate, type GateBounds } from './gate.ts';
@@ -154,7 +154,7 @@
 
   async send(attempt: Attempt): Promise<AttemptResult> {
     const objection = this.#objectionTo(attempt, AdmissionPhase.Arriving);
-    if (objection) return this.#fail(FailureKind.Refused, objection);
+    if (objection) return this.#refuse(attempt, objection);
     return runsAtMostOnce(attempt.call.route) ? this.#runOnce(attempt) : this.#admit(attempt);
   }
 
@@ -232,7 +232,7 @@
   async #admit(attempt: Attempt, id?: AttemptId): Promise<AttemptResult> {
     const { route, deadline, signal } = attempt.call;
     const entered = await this.#gate.enter({ weight: route.weight, deadline, signal });
-    if (entered.isErr()) return this.#fail(FailureKind.Refused, entered.error);
+    if (entered.isErr()) return this.#refuse(attempt, entered.error);
     await this.#refreshPace();
     const objection =
       this.#objectionTo(attempt, AdmissionPhase.Starting) ??
@@ -240,7 +240,7 @@
       this.#fenceOf(id);
     if (objection) {
       this.#gate.leave();
-      return this.#fail(FailureKind.Refused, objection);
+      return this.#refuse(attempt, objection);
     }
     return this.#execute(attempt);
   }
@@ -248,10 +248,7 @@
   /** Asks the target how fast it works, unless that is known; only one that reports its pace is asked. */
   async #refreshPace(): Promise<void> {
     if (this.#options.probePeriodMs === undefined || this.#pace.ageMs < PACE_AGE_MS) return;
-    const done = new AbortController();
-    const late = sleep(this.#timer, PACE_WAIT_MS, { signal: done.signal });
-    await Promise.race([this.#probeTarget(), late]);
-    done.abort();
+    await within(this.#timer, PACE_WAIT_MS, this.#probeTarget());
   }
 
   #objectionToPace({ call, insists }: Attempt): Refusal | undefined {
@@ -391,6 +388,23 @@
     return { status, headers, body, load: this.load };
   }
 
+  #refuse({ sequence, call }: Attempt, refusal: Refusal): AttemptResult {
+    const { inFlight, limit, queued, stage } = this.load;
+    this.#options.log.write(Event.AttemptRefused, {
+      call: call.id,
+      attempt: sequence,
+      reason: refusal.reason,
+      inFlight,
+      limit,
+      queued,
+      stage,
+      slowdown: this.#pace.slowdown,
+      paceAgeMs: Math.round(this.#pace.ageMs),
+      leftMs: Math.round(call.deadline.leftMs),
+    });
+    return this.#fail(FailureKind.Refused, refusal);
+  }
+
   #fail(kind: FailureKind, refusal: Refusal): AttemptResult {
     const failure: AttemptFailure = { kind, refusal, load: this.load };
     return err(failure);
--- a/link/greet.ts
+++ b/link/greet.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from 'neverthrow';
-import { sleep, type TimerService } from '../timer/mod.ts';
+import { within, type TimerService } from '../timer/mod.ts';
 import { FrameKind, PROTOCOL_VERSION, type Frame, type HelloFrame } from './frame.ts';
 import type { FrameChannel } from './frame_channel.ts';
 
@@ -24,12 +24,9 @@
   timer: TimerService,
 ): Promise<Result<HelloFrame, GreetError>> {
   channel.send(own);
-  const done = new AbortController();
-  const late = sleep(timer, GREETING_TIMEOUT_MS, { signal: done.signal }).then(() =>
-    err<HelloFrame, GreetError>({ detail: `expected a greeting within ${GREETING_TIMEOUT_MS} ms` }),
-  );
-  const result = await Promise.race([readHello(channel), late]);
-  done.abort();
+  const greeted = await within(timer, GREETING_TIMEOUT_MS, readHello(channel));
+  const detail = `expected a greeting within ${GREETING_TIMEOUT_MS} ms`;
+  const result = greeted ?? err<HelloFrame, GreetError>({ detail });
   if (result.isErr()) channel.terminate();
   return result;
 }
--- a/link/operator_server.ts
+++ b/link/operator_server.ts
@@ -16,6 +16,8 @@
    * @returns The log lines that concern it, oldest first.
    */
   explain: (callId: string) => string[];
+  /** @returns Counters and histograms, in the text format of Prometheus. */
+  metrics: () => Promise<string>;
 }
 
 /** Options of {@linkcode OperatorServer.listen}. */
@@ -28,7 +30,7 @@
 
 const EXPLAIN_PATH = '/explain/';
 
-/** Answers operators over HTTP: `/health`, `/status`, `/routes` and `/explain/CALL`. */
+/** Answers operators over HTTP: `/health`, `/status`, `/routes`, `/metrics` and `/explain/CALL`. */
 export class OperatorServer {
   readonly #server: Server;
 
@@ -44,7 +46,7 @@
     options: OperatorServerOptions,
   ): Promise<Result<OperatorServer, ListenError>> {
     const server = createServer((incoming, outgoing) => {
-      answer(incoming.url ?? '/', outgoing, options.view);
+      void answer(incoming.url ?? '/', outgoing, options.view);
     });
     return (await listen(server, options)).map(() => new OperatorServer(server));
   }
@@ -61,13 +63,16 @@
   }
 }
 
-function answer(path: string, outgoing: ServerResponse, view: OperatorView): void {
+async function answer(path: string, outgoing: ServerResponse, view: OperatorView): Promise<void> {
   if (path === '/health') {
     const serving = view.isServing();
     sendJson(outgoing, serving ? 200 : 503, { serving });
   } else if (path === '/status') sendJson(outgoing, 200, view.status());
   else if (path === '/routes') sendJson(outgoing, 200, view.routes());
-  else if (path.startsWith(EXPLAIN_PATH)) {
+  else if (path === '/metrics') {
+    const text = await view.metrics();
+    outgoing.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
+  } else if (path.startsWith(EXPLAIN_PATH)) {
     sendJson(outgoing, 200, view.explain(decodeURIComponent(path.slice(EXPLAIN_PATH.length))));
   } else sendJson(outgoing, 404, { detail: `expected a path of an operator, got ${path}` });
 }
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -33,6 +33,8 @@
    * @param value Its value now.
    */
   gauge(metric: Metric, value: number): void;
+  /** @returns All measurements as text, where they are kept. */
+  text(): Promise<string>;
   /** Flushes and ends. */
   close(): void;
 }
--- a/metrics/mod.ts
+++ b/metrics/mod.ts
@@ -9,6 +9,8 @@
  *
  * @module
  */
+export * from './deferred_metrics.ts';
 export * from './metrics.ts';
 export * from './no_metrics.ts';
+export * from './prometheus_metrics.ts';
 export * from './statsd_metrics.ts';
--- a/metrics/no_metrics.ts
+++ b/metrics/no_metrics.ts
@@ -14,6 +14,10 @@
     // Nothing is sent.
   }
 
+  text(): Promise<string> {
+    return Promise.resolve('');
+  }
+
   close(): void {
     // Nothing is open.
   }
--- a/metrics/statsd_metrics.ts
+++ b/metrics/statsd_metrics.ts
@@ -1,4 +1,4 @@
-import { StatsD } from 'hot-shots';
+import type { StatsD } from 'hot-shots';
 import type { Metric, Metrics, Tags } from './metrics.ts';
 
 const PREFIX = 'rhubarbkeel.';
@@ -16,9 +16,17 @@
 export class StatsdMetrics implements Metrics {
   readonly #client: StatsD;
 
-  /** @param options See {@linkcode StatsdMetricsOptions}. */
-  constructor({ host, port, instanceId }: StatsdMetricsOptions) {
-    this.#client = new StatsD({
+  private constructor(client: StatsD) {
+    this.#client = client;
+  }
+
+  /**
+   * @param options See {@linkcode StatsdMetricsOptions}.
+   * @returns The metrics, once the library is loaded.
+   */
+  static async load({ host, port, instanceId }: StatsdMetricsOptions): Promise<StatsdMetrics> {
+    const { StatsD } = await import('hot-shots');
+    const client = new StatsD({
       host,
       port,
       prefix: PREFIX,
@@ -26,6 +34,7 @@
       globalTags: { instance: instanceId },
       errorHandler: () => undefined,
     });
+    return new StatsdMetrics(client);
   }
 
   increment(metric: Metric, tags: Tags = {}): void {
@@ -40,6 +49,10 @@
     this.#client.gauge(metric, value);
   }
 
+  text(): Promise<string> {
+    return Promise.resolve('');
+  }
+
   close(): void {
     this.#client.close(() => undefined);
   }
--- a/settings/settings.ts
+++ b/settings/settings.ts
@@ -57,6 +57,8 @@
   }),
   /** Where metrics are sent by StatsD; none if absent. */
   metrics: z.strictObject({ host: z.string(), port }).optional(),
+  /** A further address where operators ask, `/metrics` first of all; none if absent. */
+  metricsListener: listener.optional(),
   decisions: z
     .strictObject({
       picker: z.enum(PickerKind).default(PickerKind.ExpectedCost),
--- a/timer/mod.ts
+++ b/timer/mod.ts
@@ -18,3 +18,4 @@
 export * from './sleep.ts';
 export * from './timer_service.ts';
 export * from './virtual_timer.ts';
+export * from './within.ts';
