Tell a reset that arrives with the last bytes from an ordinary end

Changed: after the end of a connection a line break is written, which fails at once if the other side has reset it. Ruled out: refusing all answers without a length (whole ones are to be delivered). Also: the log writer's import failed outside of the bundle.

--- a/event_log/console_log.ts
+++ b/event_log/console_log.ts
@@ -1,5 +1,5 @@
 import { createConsola, type ConsolaInstance } from 'consola';
-import { SonicBoom } from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import { Event, formatEvent, type Fields } from './event.ts';
 import type { EventLog } from './event_log.ts';
 
@@ -13,12 +13,12 @@
  */
 export class ConsoleLog implements EventLog {
   readonly #consola: ConsolaInstance;
-  readonly #output: SonicBoom;
+  readonly #output: InstanceType<typeof sonicBoom.SonicBoom>;
   #lines: string[] = [];
   #dropped = 0;
 
   constructor() {
-    this.#output = new SonicBoom({
+    this.#output = new sonicBoom.SonicBoom({
       fd: STANDARD_OUTPUT,
       sync: false,
       maxLength: MAX_WAITING_BYTES,
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
 import { Pool, buildConnector, type Dispatcher } from 'undici';
@@ -28,6 +29,9 @@
 /** Errors that are raised before anything was sent. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 
+/** Errors of a connection that the other side has reset. */
+const RESET_CODES = new Set(['ECONNRESET', 'EPIPE']);
+
 /** Options of {@linkcode TargetClient}. */
 export interface TargetClientOptions {
   /** Connections that may be open at once. */
@@ -45,21 +49,18 @@
   readonly #dialect: HttpDialect;
   /** Connections that were reset so far. */
   #resets = 0;
-  readonly #onSocketError = ({ code }: NodeJS.ErrnoException) => {
-    if (code === 'ECONNRESET') this.#resets += 1;
-  };
 
   /**
    * @param url Origin of the target.
    * @param options See {@linkcode TargetClientOptions}.
    */
   constructor(url: string, options: TargetClientOptions) {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true });
     this.#pool = new Pool(url, {
       connections: options.connections,
       connect: (target, callback) => {
         connect(target, (...connected) => {
-          connected[1]?.on('error', this.#onSocketError);
+          if (connected[1]) this.#watchResets(connected[1]);
           callback(...connected);
         });
       },
@@ -106,6 +107,21 @@
     await this.#pool.destroy();
   }
 
+  /**
+   * Counts resets. One that arrives together with the last bytes shows as an
+   * ordinary end; only a write tells it apart, of a line break that a target
+   * skips before a request.
+   */
+  #watchResets(socket: Socket): void {
+    const countReset = (error?: NodeJS.ErrnoException | null) => {
+      if (error?.code !== undefined && RESET_CODES.has(error.code)) this.#resets += 1;
+    };
+    socket.on('error', countReset);
+    socket.on('end', () => {
+      socket.write('\r\n', countReset);
+    });
+  }
+
   #requestHeaders(req: TargetRequest): string[] {
     const kept = endToEnd(req.headers).filter(
       ([name]) => name !== 'content-length' && !this.#dialect.reserved.has(name),
@@ -131,9 +147,12 @@
     const resetsBefore = this.#resets;
     const body = await readStart(res.body);
     // The library takes an answer without a length for whole even if its connection was reset.
-    if (isUnframed(res) && this.#resets > resetsBefore) {
-      if (!(body instanceof WholeBody)) await abandonBody(body);
-      return err({ kind: TargetFailureKind.Broken, detail: 'reset before the end of an answer' });
+    if (isUnframed(res)) {
+      await turnOfEventLoop();
+      if (this.#resets > resetsBefore) {
+        if (!(body instanceof WholeBody)) await abandonBody(body);
+        return err({ kind: TargetFailureKind.Broken, detail: 'reset before the end of an answer' });
+      }
     }
     const headers = endToEnd(toHeaders(res.headers));
     return ok({ status, headers, body, load: undefined, targetId, shed, reported });
@@ -156,6 +175,12 @@
   }
 }
 
+function turnOfEventLoop(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
 function isUnframed({ headers }: Dispatcher.ResponseData): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
--- a/link/target_client_test.ts
+++ b/link/target_client_test.ts
@@ -12,7 +12,7 @@
 /** What a misbehaving target does with a request: the bytes it sends, and how it ends the connection. */
 interface Misbehaviour {
   bytes: string;
-  end: 'keep' | 'close' | 'reset';
+  end: 'keep' | 'close' | 'reset' | 'reset-with-bytes';
 }
 
 function answer(lines: readonly string[], body: string): string {
@@ -42,6 +42,10 @@
     bytes: answer([`Request-Id: ${CALL_ID}`, SIGNED], 'to the re'),
     end: 'reset',
   },
+  'without a length, reset along with its bytes': {
+    bytes: answer([`Request-Id: ${CALL_ID}`, SIGNED], 'to the re'),
+    end: 'reset-with-bytes',
+  },
   'chunks, cut': {
     bytes: answer(
       [`Request-Id: ${CALL_ID}`, SIGNED, 'Transfer-Encoding: chunked'],
@@ -49,6 +53,13 @@
     ),
     end: 'close',
   },
+  'chunks, cut on a connection that was to close': {
+    bytes: answer(
+      [`Request-Id: ${CALL_ID}`, SIGNED, 'Connection: close', 'Transfer-Encoding: chunked'],
+      '4\r\ngood\r\n',
+    ),
+    end: 'close',
+  },
   'no answer at all': { bytes: 'SSH-2.0-OpenSSH\r\n', end: 'keep' },
   'reset at once': { bytes: '', end: 'reset' },
 };
@@ -61,6 +72,7 @@
   socket.once('data', () => {
     socket.write(bytes);
     if (end === 'close') socket.end();
+    if (end === 'reset-with-bytes') socket.resetAndDestroy();
     if (end === 'reset') setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
   });
 }
--- a/tap-snapshots/dist/link/target_client_test.js.test.cjs
+++ b/tap-snapshots/dist/link/target_client_test.js.test.cjs
@@ -14,7 +14,9 @@
   "cut before its length: no answer: broken",
   "without a length, ended: 200 to the end",
   "without a length, reset: no answer: broken",
+  "without a length, reset along with its bytes: no answer: broken",
   "chunks, cut: no answer: broken",
+  "chunks, cut on a connection that was to close: no answer: broken",
   "no answer at all: no answer: broken",
   "reset at once: no answer: broken",
 ]
