--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,5 +1,9 @@
 import tseslint from 'typescript-eslint';
 
+/** Words of the users' platform, which are decoded in platform/ only. */
+const platformWords =
+  '/kv-(range|watch|key)|^op\\/|^servers\\/|not-executed|weighted_services|cold_remaining|allowed_regions|caller-service/i';
+
 const transports = ['ws', 'hono', 'undici', 'msgpackr', '@hono/node-server'];
 
 export default tseslint.config(
@@ -41,6 +45,16 @@
       ],
     },
   },
+  {
+    files: ['**/*.ts'],
+    ignores: ['platform/**', 'stand_in/**', '**/*_test.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        { selector: `Literal[value=${platformWords}]`, message: 'Decode it in platform/.' },
+      ],
+    },
+  },
   {
     files: [
       'placement/**',
