Let the model check say when its solver leaves a question open, and close what tests open

Cause: npm run spec once ended with 1 on a busy machine and with 0 when run again; an answer 'unknown' of the solver counted as no counterexample in a search and as not inductive in a proof, without a word. It is an error now that names the question and the solver's reason. What made the solver give up that one time is not known. The process test could spin at its own end with handles left over: it waits for its children's pipes to close and ends its client connections. Ruled out for the spin: the daemons themselves (all had ended).

--- a/daemon/process_test.ts
+++ b/daemon/process_test.ts
@@ -1,9 +1,12 @@
 import t from 'tap';
-import { request } from 'undici';
+import { getGlobalDispatcher, request } from 'undici';
 import { Deployment, type Member } from '../demo/deployment.ts';
 import { exampleConfiguration } from '../fakes/mod.ts';
 import type { DaemonStatus } from './mod.ts';
 
+// Connections to daemons that have ended are not left to the end of this process.
+t.teardown(() => getGlobalDispatcher().destroy());
+
 const SERVICE_MS = 300;
 /** Looks at a daemon's open calls; a busy machine may have ended some by then. */
 const MAX_POLLS = 300;
@@ -49,7 +52,7 @@
 }
 
 function exitOf({ process: child }: Member): Promise<number | null> {
-  return new Promise((resolve) => child.once('exit', resolve));
+  return new Promise((resolve) => child.once('close', resolve));
 }
 
 void t.test('rhubarbkeeld ends on SIGTERM without cutting a call', async (t) => {
--- a/demo/deployment.ts
+++ b/demo/deployment.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 import { parse } from 'jsonc-parser';
+import { Agent, request } from 'undici';
 import { LifeStage, type Instance } from '../instance/mod.ts';
 import { PlatformStandIn, TargetStandIn, type TargetBehaviour } from '../stand_in/mod.ts';
 import { RealTimer, sleep } from '../timer/mod.ts';
@@ -45,6 +46,7 @@
 export class Deployment {
   readonly platform: PlatformStandIn;
   readonly members: readonly Member[];
+  readonly #agent = new Agent();
 
   private constructor(platform: PlatformStandIn, members: readonly Member[]) {
     this.platform = platform;
@@ -78,6 +80,7 @@
   /** Stops every daemon gracefully and ends the stand-ins. */
   async stop(): Promise<void> {
     await Promise.all(this.members.map(stopMember));
+    await this.#agent.destroy();
     for (const { target } of this.members) target.crash();
     this.platform.close();
   }
@@ -87,11 +90,21 @@
     const endMs = timer.now() + READY_TIMEOUT_MS;
     const waiting = new Set(this.members);
     while (waiting.size > 0 && timer.now() < endMs) {
-      for (const member of waiting) if (await isServing(member)) waiting.delete(member);
+      for (const member of waiting) if (await this.#isServing(member)) waiting.delete(member);
       await sleep(timer, READY_POLL_MS);
     }
     if (waiting.size > 0) throw new Error(`expected all daemons to serve, ${waiting.size} do not`);
   }
+
+  async #isServing({ operatorAddress }: Member): Promise<boolean> {
+    try {
+      const res = await request(`http://${operatorAddress}/health`, { dispatcher: this.#agent });
+      await res.body.dump();
+      return res.statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
 }
 
 /**
@@ -157,18 +170,10 @@
   return child;
 }
 
-async function isServing({ operatorAddress }: Member): Promise<boolean> {
-  try {
-    const res = await fetch(`http://${operatorAddress}/health`);
-    return res.ok;
-  } catch {
-    return false;
-  }
-}
-
 async function stopMember({ process: child }: Member): Promise<void> {
   if (child.exitCode !== null || child.signalCode !== null) return;
-  const ended = new Promise((resolve) => child.once('exit', resolve));
+  // Its pipes are closed too by then, so that nothing of it is left in this process.
+  const ended = new Promise((resolve) => child.once('close', resolve));
   child.kill('SIGTERM');
   await ended;
 }
--- a/spec/check.ts
+++ b/spec/check.ts
@@ -1,4 +1,4 @@
-import type { Arith, Bool, Expr } from 'z3-solver';
+import type { Arith, Bool, Expr, Solver } from 'z3-solver';
 import { Sort, type Action, type State, type System, type Z3 } from './system.ts';
 
 /** What the checker found out about one system. */
@@ -53,7 +53,8 @@
     for (const [property, holds] of Object.entries(system.properties(z3, state))) {
       solver.push();
       solver.add(z3.Not(holds));
-      const answer = await solver.check();
+      const question = `"${property}" of ${system.name} after ${step} steps`;
+      const answer = await decide(solver, question);
       solver.pop();
       if (answer === 'sat') return { property, steps: step };
     }
@@ -69,14 +70,23 @@
   solver.add(invariant(z3, system, state));
   solver.add(transition(z3, system, { state, next, removed: new Set() }));
   solver.add(z3.Not(invariant(z3, system, next)));
-  const step = await solver.check();
+  const step = await decide(solver, `induction of ${system.name}`);
   const start = new z3.Solver();
   start.add(system.initial(z3, state));
   start.add(z3.Not(invariant(z3, system, state)));
-  const initial = await start.check();
+  const initial = await decide(start, `the first state of ${system.name}`);
   return step === 'unsat' && initial === 'unsat';
 }
 
+/** A question without an answer is neither proved nor refuted, and must not pass for either. */
+async function decide(solver: Solver<'spec'>, question: string): Promise<'sat' | 'unsat'> {
+  const answer = await solver.check();
+  if (answer === 'unknown') {
+    throw new Error(`the solver left open: ${question}, ${solver.reasonUnknown()}`);
+  }
+  return answer;
+}
+
 function invariant(z3: Z3, system: System, state: State): Bool<'spec'> {
   const properties = Object.values(system.properties(z3, state));
   return z3.And(...properties, ...system.lemmas(z3, state));
