Split the probing from the guard, and a call's course from the dispatcher

Changed: TargetProber asks the health endpoint; Course holds what the attempts of one call have shown and whether another may follow. Moved code, no other behaviour.

--- /dev/null
+++ b/entry/course.ts
@@ -0,0 +1,133 @@
+import { err, ok, type Result } from 'neverthrow';
+import {
+  RefusalReason,
+  ReplayableBody,
+  WholeBody,
+  hasReachedTarget,
+  isNotRun,
+  runsAtMostOnce,
+  unknown,
+  type Answer,
+  type AttemptFailure,
+  type Call,
+  type Refusal,
+  type RetryBudget,
+} from '../contract/mod.ts';
+import type { Instance } from '../instance/mod.ts';
+
+const SERVER_ERROR_STATUS = 500;
+/** Guards that may refuse one call before it is refused as a whole; bounds the time until then. */
+const MAX_GUARD_REFUSALS = 4;
+/** Targets that may turn one call away as too slow at the moment before one of them has to run it. */
+const MAX_SLOW_TARGETS = 2;
+
+/** What the attempts of one call have shown, and whether another may follow. */
+export class Course {
+  /** Names of instances that were tried. */
+  readonly excluded = new Set<string>();
+  readonly #call: Call;
+  readonly #budget: RetryBudget;
+  readonly #slow: string[] = [];
+  #reached = 0;
+  #refused = 0;
+  #insists = false;
+  #mayHaveRun = false;
+  #last: Refusal | undefined;
+  #failed: Answer | undefined;
+
+  /**
+   * @param call The call.
+   * @param budget Bounds the further attempts of all calls to its pool.
+   */
+  constructor(call: Call, budget: RetryBudget) {
+    this.#call = call;
+    this.#budget = budget;
+  }
+
+  /** @returns Whether the next target runs the call however slow it is. */
+  get insists(): boolean {
+    return this.#insists;
+  }
+
+  /**
+   * Takes an answer.
+   *
+   * @param answer The answer of a target.
+   * @returns Whether to give it to the caller; otherwise it is kept in case no better one can be had.
+   */
+  accept(answer: Answer): boolean {
+    this.#reached += 1;
+    if (!this.#isWorthAnother(answer)) return true;
+    this.#failed = answer;
+    return false;
+  }
+
+  /**
+   * Takes the failure of an attempt.
+   *
+   * @param failure How it ended.
+   * @param instance Instance that it was sent to.
+   * @returns Whether another target may be tried.
+   */
+  mayFollow(failure: AttemptFailure, instance: Instance): boolean {
+    this.#record(failure, instance);
+    if (!this.#isRepeatable(failure) || this.#refused > MAX_GUARD_REFUSALS) return false;
+    // An attempt that a guard refused costs its target nothing.
+    if (!hasReachedTarget(failure)) return true;
+    return this.#reached < this.#call.route.maxAttempts && this.#budget.tryTake();
+  }
+
+  /**
+   * Goes back to the targets that were too slow; one of them is to run the call.
+   *
+   * @returns Whether there are any.
+   */
+  insistOnSlow(): boolean {
+    if (this.#insists || this.#slow.length === 0) return false;
+    this.#insists = true;
+    for (const id of this.#slow) this.excluded.delete(id);
+    return true;
+  }
+
+  /**
+   * @param refusal Why no other target is tried.
+   * @returns How the call ends. An earlier attempt that may have run makes its outcome unknown.
+   */
+  conclude(refusal: Refusal): Result<Answer, Refusal> {
+    if (this.#failed) return ok(this.#failed);
+    // That no target is left tells less than why the last one failed.
+    const isLast = refusal.reason === RefusalReason.NoTarget;
+    const telling = isLast ? (this.#last ?? refusal) : refusal;
+    return err(this.#mayHaveRun ? unknown(telling.reason, telling.detail) : telling);
+  }
+
+  #record(failure: AttemptFailure, instance: Instance): void {
+    this.#mayHaveRun ||= !isNotRun(failure.kind);
+    this.#last = failure.refusal;
+    if (hasReachedTarget(failure)) this.#reached += 1;
+    else this.#refused += 1;
+    if (failure.refusal.reason !== RefusalReason.TargetSlow) return;
+    this.#slow.push(instance.id);
+    if (this.#slow.length >= MAX_SLOW_TARGETS) this.insistOnSlow();
+  }
+
+  /** A server error of an idempotent call may be the target's own; another one is tried. */
+  #isWorthAnother(answer: Answer): boolean {
+    if (answer.status < SERVER_ERROR_STATUS || !(answer.body instanceof WholeBody)) return false;
+    if (runsAtMostOnce(this.#call.route) || !this.#canBeSentAgain()) return false;
+    return this.#reached < this.#call.route.maxAttempts && this.#budget.tryTake();
+  }
+
+  #isRepeatable({ kind, refusal }: AttemptFailure): boolean {
+    if (refusal.reason === RefusalReason.Quarantined) return false;
+    if (refusal.reason === RefusalReason.BodyCut) return false;
+    if (!this.#canBeSentAgain()) return false;
+    return isNotRun(kind) || !runsAtMostOnce(this.#call.route);
+  }
+
+  #canBeSentAgain(): boolean {
+    const { signal, deadline, body } = this.#call;
+    if (signal.aborted || deadline.hasPassed) return false;
+    return !(body instanceof ReplayableBody && body.isSpent);
+  }
+}
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -4,13 +4,10 @@
   Leg,
   RefusalReason,
   Repeatability,
-  ReplayableBody,
   WholeBody,
-  hasReachedTarget,
   isNotRun,
   notRun,
   runsAtMostOnce,
-  unknown,
   type Answer,
   type Attempt,
   type AttemptFailure,
@@ -33,6 +30,7 @@
 import type { Quarantine } from '../guard/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 import type { AttemptCounter } from './attempt_counter.ts';
+import { Course } from './course.ts';
 import { raceHedged } from './hedge.ts';
 import { PoolBudgets } from './pool_budgets.ts';
 import type { PeerDirectory, PeerPort } from './peer_directory.ts';
@@ -44,10 +42,6 @@
 /** Hedged attempts per hundred calls; apart from retries, which must not be starved by them. */
 const HEDGE_PERCENT = 2;
 const SERVER_ERROR_STATUS = 500;
-/** Guards that may refuse one call before it is refused as a whole; bounds the time until then. */
-const MAX_GUARD_REFUSALS = 4;
-/** Targets that may turn one call away as too slow at the moment before one of them has to run it. */
-const MAX_SLOW_TARGETS = 2;
 /** Longest time spent on learning the end of a keyless call whose link broke, in milliseconds. */
 const KEYLESS_SETTLE_MS = 1_000;
 
@@ -83,36 +77,12 @@
   retryBurst?: () => number;
 }
 
-/** What the attempts of one call have shown so far. */
-interface Course {
-  /** Names of instances that were tried. */
-  excluded: Set<string>;
-  /** Attempts that arrived at a target. */
-  reached: number;
-  /** Attempts that a guard refused. */
-  refused: number;
-  /** Names of instances whose targets were too slow at the moment. */
-  slow: string[];
-  /** Whether the next target runs the call however slow it is. */
-  insists: boolean;
-  mayHaveRun: boolean;
-  last: Refusal | undefined;
-  /** An answer that is given if no better one can be had. */
-  failed: Answer | undefined;
-}
-
 interface Try {
   decision: Decision;
   attempt: Attempt;
   port: PeerPort;
 }
 
-/** What bounds the further attempts of a call. */
-interface Allowance {
-  course: Course;
-  budget: RetryBudget;
-}
-
 /** The state of one call between its attempts. */
 interface Turn {
   fingerprint: string | undefined;
@@ -147,32 +117,18 @@
   async dispatch(call: Call, fingerprint: string | undefined): Promise<Result<Answer, Refusal>> {
     const budget = this.#budgets.of(call.pool);
     budget.recordCall();
-    const course: Course = {
-      excluded: new Set<string>(),
-      reached: 0,
-      refused: 0,
-      slow: [],
-      insists: false,
-      mayHaveRun: false,
-      last: undefined,
-      failed: undefined,
-    };
+    const course = new Course(call, budget);
     for (;;) {
       const decided = this.#decide(call, fingerprint, course.excluded);
       if (decided.isErr()) {
-        if (insistsNow(course)) continue;
-        return conclude(course, moreTelling(course.last, decided.error));
+        if (course.insistOnSlow()) continue;
+        return course.conclude(decided.error);
       }
       const result = await this.#tryOnce(call, decided.value, { fingerprint, course });
       if (result.isOk()) {
-        course.reached += 1;
-        if (!this.#isWorthAnother(call, result.value, { course, budget })) return ok(result.value);
-        course.failed = result.value;
-        continue;
-      }
-      recordFailure(course, result.error, decided.value.instance);
-      if (!mayRepeat(call, result.error, { course, budget })) {
-        return conclude(course, result.error.refusal);
+        if (course.accept(result.value)) return ok(result.value);
+      } else if (!course.mayFollow(result.error, decided.value.instance)) {
+        return course.conclude(result.error.refusal);
       }
     }
   }
@@ -193,15 +149,6 @@
     });
   }
 
-  /** A server error of an idempotent call may be the target's own; another one is tried. */
-  #isWorthAnother(call: Call, answer: Answer, { course, budget }: Allowance): boolean {
-    if (answer.status < SERVER_ERROR_STATUS || !(answer.body instanceof WholeBody)) return false;
-    if (runsAtMostOnce(call.route)) return false;
-    if (call.body instanceof ReplayableBody && call.body.isSpent) return false;
-    if (course.reached >= call.route.maxAttempts) return false;
-    return !call.signal.aborted && !call.deadline.hasPassed && budget.tryTake();
-  }
-
   #decide(
     call: Call,
     fingerprint: string | undefined,
@@ -349,50 +296,6 @@
   return Math.round(value * 100) / 100;
 }
 
-function recordFailure(course: Course, failure: AttemptFailure, instance: Instance): void {
-  course.mayHaveRun ||= !isNotRun(failure.kind);
-  course.last = failure.refusal;
-  if (hasReachedTarget(failure)) course.reached += 1;
-  else course.refused += 1;
-  if (failure.refusal.reason !== RefusalReason.TargetSlow) return;
-  course.slow.push(instance.id);
-  if (course.slow.length >= MAX_SLOW_TARGETS) insistsNow(course);
-}
-
-/** Goes back to the targets that were too slow, if there are any; one of them is to run the call. */
-function insistsNow(course: Course): boolean {
-  if (course.insists || course.slow.length === 0) return false;
-  course.insists = true;
-  for (const id of course.slow) course.excluded.delete(id);
-  return true;
-}
-
-/** An attempt that reached its target costs the target work; one that a guard refused does not. */
-function mayRepeat(call: Call, failure: AttemptFailure, { course, budget }: Allowance): boolean {
-  if (!isRepeatable(call, failure) || course.refused > MAX_GUARD_REFUSALS) return false;
-  if (!hasReachedTarget(failure)) return true;
-  return course.reached < call.route.maxAttempts && budget.tryTake();
-}
-
-function isRepeatable(call: Call, failure: AttemptFailure): boolean {
-  if (call.signal.aborted || call.deadline.hasPassed) return false;
-  if (failure.refusal.reason === RefusalReason.Quarantined) return false;
-  if (failure.refusal.reason === RefusalReason.BodyCut) return false;
-  if (call.body instanceof ReplayableBody && call.body.isSpent) return false;
-  return isNotRun(failure.kind) || !runsAtMostOnce(call.route);
-}
-
-/** That no target is left tells less than why the last one failed. */
-function moreTelling(last: Refusal | undefined, refusal: Refusal): Refusal {
-  return refusal.reason === RefusalReason.NoTarget ? (last ?? refusal) : refusal;
-}
-
-/** An earlier attempt that may have run makes the whole call's outcome unknown. */
-function conclude(course: Course, refusal: Refusal): Result<Answer, Refusal> {
-  if (course.failed) return ok(course.failed);
-  return err(course.mayHaveRun ? unknown(refusal.reason, refusal.detail) : refusal);
-}
-
 function signOf(call: Call, result: AttemptResult): AttemptSign {
   if (result.isOk()) {
     return result.value.status >= SERVER_ERROR_STATUS ? AttemptSign.Failed : AttemptSign.Answered;
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -25,7 +25,7 @@
   type Refusal,
 } from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
-import { within, type Subscription, type TimerService } from '../timer/mod.ts';
+import type { Subscription, TimerService } from '../timer/mod.ts';
 import { AttemptLedger } from './attempt_ledger.ts';
 import { makeLimit, type ConcurrencyLimit, type LimitKind } from './concurrency_limit.ts';
 import { Gate, type GateBounds } from './gate.ts';
@@ -39,6 +39,7 @@
   type TargetFailure,
   type TargetPort,
 } from './target_port.ts';
+import { TargetProber } from './target_prober.ts';
 import { WarmUp } from './warm_up.ts';
 
 /** Largest answer of a non-idempotent call, in bytes. */
@@ -47,16 +48,6 @@
 const NON_IDEMPOTENT_GRACE_MS = 30_000;
 /** Server errors begin at this status. */
 const SERVER_ERROR_STATUS = 500;
-/** Time between two probes of a target that is down or cold, in milliseconds. */
-const URGENT_PROBE_PERIOD_MS = 250;
-/** Time between two looks at whether a probe is due, in milliseconds. */
-const TICK_MS = 100;
-/** Time between two probes of a target that is down where no period is set, in milliseconds. */
-const DOWN_PROBE_PERIOD_MS = 1_000;
-/** Age beyond which a target's report of its pace is asked for anew, in milliseconds. */
-const PACE_AGE_MS = 40;
-/** Longest wait for that report, in milliseconds; a call that waits longer goes on without. */
-const PACE_WAIT_MS = 10;
 /** Time beyond its deadline after which a keyless call is ended, in milliseconds. */
 const KEYLESS_GRACE_MS = 250;
 
@@ -103,12 +94,10 @@
   readonly #health: TargetHealth;
   readonly #warmUp: WarmUp;
   #limit: ConcurrencyLimit;
-  readonly #probing: Subscription;
+  readonly #prober: TargetProber;
   #slots: number;
   #overload = 0;
   readonly #pace: TargetPace;
-  #probe: Promise<void> | undefined;
-  #probedAtMs = -Infinity;
 
   /** @param options See {@linkcode GuardOptions}. */
   constructor(options: GuardOptions) {
@@ -125,9 +114,17 @@
     this.#pace = new TargetPace(options.timer);
     this.#gate = new Gate(options.timer, () => this.#bounds());
     this.#ledger = new AttemptLedger(options.timer);
-    this.#probing = options.timer.every(this.#tickMs, () => {
-      void this.#probeIfDue();
-      this.#gate.admitWaiting();
+    this.#prober = new TargetProber({
+      timer: options.timer,
+      port: options.port,
+      health: this.#health,
+      pace: this.#pace,
+      periodMs: options.probePeriodMs,
+      path: () => options.pool()?.healthPath,
+      isUrgent: () => this.#health.stage(this.#limit.current) !== TargetStage.Warm,
+      onLook: () => {
+        this.#gate.admitWaiting();
+      },
     });
   }
 
@@ -183,7 +180,7 @@
 
   /** Stops probing. */
   close(): void {
-    this.#probing.cancel();
+    this.#prober.close();
   }
 
   /** Treats the target as just started, as after its failure domain was put back into service. */
@@ -233,7 +230,7 @@
     const { route, deadline, signal } = attempt.call;
     const entered = await this.#gate.enter({ weight: route.weight, deadline, signal });
     if (entered.isErr()) return this.#refuse(attempt, entered.error);
-    await this.#refreshPace();
+    await this.#prober.refreshPace();
     const objection =
       this.#objectionTo(attempt, AdmissionPhase.Starting) ??
       this.#objectionToPace(attempt) ??
@@ -245,12 +242,6 @@
     return this.#execute(attempt);
   }
 
-  /** Asks the target how fast it works, unless that is known; only one that reports its pace is asked. */
-  async #refreshPace(): Promise<void> {
-    if (this.#options.probePeriodMs === undefined || this.#pace.ageMs < PACE_AGE_MS) return;
-    await within(this.#timer, PACE_WAIT_MS, this.#probeTarget());
-  }
-
   #objectionToPace({ call, insists }: Attempt): Refusal | undefined {
     if (insists || !this.#pace.isTooSlowFor(call.route.name, call.objective.leftMs))
       return undefined;
@@ -430,38 +421,6 @@
   #slotsInForce(): number {
     return this.#options.slots() ?? this.#options.pool()?.slots ?? 1;
   }
-
-  get #tickMs(): number {
-    return this.#options.probePeriodMs === undefined ? DOWN_PROBE_PERIOD_MS : TICK_MS;
-  }
-
-  async #probeIfDue(): Promise<void> {
-    if (this.#timer.now() - this.#probedAtMs >= this.#probeDelayMs) await this.#probeTarget();
-  }
-
-  /** Probes the target; those who ask meanwhile share the answer. */
-  #probeTarget(): Promise<void> {
-    this.#probe ??= this.#probeOnce().finally(() => {
-      this.#probe = undefined;
-    });
-    return this.#probe;
-  }
-
-  async #probeOnce(): Promise<void> {
-    this.#probedAtMs = this.#timer.now();
-    const report = await this.#options.port.probe(this.#options.pool()?.healthPath);
-    this.#pace.recordReport(report?.load);
-    if (report || this.#options.probePeriodMs !== undefined) this.#health.recordProbe(report);
-    this.#gate.admitWaiting();
-  }
-
-  /** Time from the last probe to the next one; infinite if none is wanted. */
-  get #probeDelayMs(): number {
-    const { probePeriodMs } = this.#options;
-    if (probePeriodMs === undefined) return this.#health.isDown ? 0 : Infinity;
-    const isUrgent = this.#health.stage(this.#limit.current) !== TargetStage.Warm;
-    return isUrgent ? Math.min(probePeriodMs, URGENT_PROBE_PERIOD_MS) : probePeriodMs;
-  }
 }
 
 /** Stage of a target whose daemon accepts no work. */
--- a/guard/mod.ts
+++ b/guard/mod.ts
@@ -21,4 +21,5 @@
 export * from './target_health.ts';
 export * from './target_pace.ts';
 export * from './target_port.ts';
+export * from './target_prober.ts';
 export * from './warm_up.ts';
