--- a/fakes/world.ts
+++ b/fakes/world.ts
@@ -49,7 +49,9 @@
   /** One-way delay between two failure domains, in milliseconds. */
   delayMs?: (fromDomain: string, toDomain: string) => number;
   /** Further settings of each daemon. */
-  settings?: Partial<Pick<Settings, 'decisions' | 'keys' | 'quarantine' | 'drainTimeoutMs'>>;
+  settings?: Partial<
+    Pick<Settings, 'decisions' | 'keys' | 'quarantine' | 'drainTimeoutMs' | 'lameDuckMs'>
+  >;
   /** @returns Time of the next call at a target, in milliseconds. */
   serviceMs?: (target: string) => number;
   /** Makes the target of an instance, in place of a {@linkcode FakeTarget}. */
--- /dev/null
+++ b/metrics/prometheus_metrics_test.ts
@@ -0,0 +1,17 @@
+import t from 'tap';
+import { DeferredMetrics, Metric, PrometheusMetrics } from './mod.ts';
+
+void t.test('DeferredMetrics passes on what came before its library was loaded', async (t) => {
+  const metrics = new DeferredMetrics();
+  metrics.increment(Metric.Calls, { outcome: 'answered' });
+  metrics.timing(Metric.CallMs, 7, { outcome: 'answered' });
+  metrics.gauge(Metric.InFlight, 3);
+  t.equal(await metrics.text(), '', 'nothing before');
+  metrics.resolve(await PrometheusMetrics.load('boards-1'));
+  metrics.increment(Metric.Calls, { outcome: 'not-run' });
+  const lines = (await metrics.text()).split('\n').filter((line) => !line.startsWith('#'));
+  t.matchSnapshot(
+    lines.filter((line) => /calls\{|call_ms_count|le="(5|10)"|in_flight/.test(line)),
+    'samples',
+  );
+});
