--- a/configuration/lapse_grace.ts
+++ b/configuration/lapse_grace.ts
@@ -17,6 +17,8 @@
   readonly #timer: TimerService;
   #isAway = false;
   #endsAtMs = -Infinity;
+  /** Instances missing since the platform came back; one that goes missing later has left. */
+  #missing: Set<string> | undefined;
 
   /** @param timer The source of time. */
   constructor(timer: TimerService) {
@@ -37,6 +39,7 @@
   recordAnswer(): void {
     if (!this.#isAway) return;
     this.#isAway = false;
+    this.#missing = undefined;
     this.#endsAtMs = this.#timer.now() + GRACE_MS;
   }
 
@@ -47,8 +50,13 @@
    */
   apply(before: FleetDocument | undefined, next: FleetDocument): FleetDocument {
     if (!before || this.leftMs === 0) return next;
-    const kept = Object.entries(before.instances)
-      .filter(([id, { stage }]) => !(id in next.instances) && stage !== LifeStage.Leaving)
+    const absent = Object.entries(before.instances).filter(
+      ([id, { stage }]) => !(id in next.instances) && stage !== LifeStage.Leaving,
+    );
+    const missing = (this.#missing ??= new Set(absent.map(([id]) => id)));
+    for (const id of Object.keys(next.instances)) missing.delete(id);
+    const kept = absent
+      .filter(([id]) => missing.has(id))
       .map(([id, instance]) => [id, { ...instance, stage: LifeStage.Lapsed }] as const);
     return { ...next, instances: { ...next.instances, ...Object.fromEntries(kept) } };
   }
--- a/tap-snapshots/dist/platform/store_source_test.js.test.cjs
+++ b/tap-snapshots/dist/platform/store_source_test.js.test.cjs
@@ -10,6 +10,7 @@
   "first: 10.1.0.8 results i-4 live",
   "draining: 10.1.0.8 results i-4 leaving",
   "nothing new: no newer list",
+  "after a fraction of a millisecond: no newer list",
   "history dropped: 10.1.0.8 boards i-1 live",
   "event=entry-unreadable key=servers/i-2 problem=\\"slots: Invalid input: expected number, received string\\"",
   "event=entry-unreadable key=servers/i-3 problem=\\": Invalid input: expected object, received undefined\\"",
@@ -33,6 +34,7 @@
   "away: no answer",
   "back: 10.1.0.8 boards i-1 lapsed, 10.1.0.9 boards i-2 lapsed",
   "one is listed again: 10.1.0.8 boards i-1 lapsed, 10.1.0.9 boards i-2 live",
+  "it leaves: 10.1.0.8 boards i-1 lapsed",
   "the other is gone: 10.1.0.9 boards i-2 live",
 ]
 `
