Go on after SIGHUP, and send nothing for callers that left while a link was opened

Cause: the process had no handler for SIGHUP, so the runtime's default ended it: every call in flight was cut. The handler reads the settings again, takes on retries, lameDuckMs and drainTimeoutMs, names what needs a restart, and leaves what was in force if the file cannot be read.

Opening a link takes up to 1.4 s. A caller that left, or a deadline that passed, meanwhile did not stop the attempt: it was sent, and a call that runs at most once ran. daemon/caller_left_test.ts fails first (runs 1 for both kinds of call; 0 now).

The steady clock does not count a suspension of the machine. The watch for pauses now compares the time of day too and reads the versions again; links and calls are left alone, since a step of the clock looks the same.

--- /dev/null
+++ b/daemon/caller_left_test.ts
@@ -0,0 +1,38 @@
+import t from 'tap';
+import { World, exampleConfiguration } from '../fakes/mod.ts';
+
+const ENTRY_ID = 'boards-centro-a';
+/** One way between failure domains; opening a link takes several of them. */
+const DELAY_MS = 100;
+const LEAVES_AFTER_MS = 50;
+
+void t.test(
+  'daemon.serve() sends nothing for a caller that left while a link was opened',
+  async (t) => {
+    const seen: string[] = [];
+    for (const target of ['/boards/3', '/entries']) {
+      const world = await World.start({
+        configuration: exampleConfiguration(),
+        placings: [
+          { pool: 'boards', failureDomain: 'centro-a' },
+          { pool: 'boards', failureDomain: 'norte-a' },
+          { pool: 'results', failureDomain: 'norte-b' },
+        ],
+        delayMs: () => DELAY_MS,
+      });
+      world.member(ENTRY_ID).target.isUp = target === '/entries';
+      // Ends the links that the daemon opened at its start.
+    world.network.breakAll(world.member(ENTRY_ID).instance.peerAddress);
+    await world.timer.advance(1);
+    const caller = new AbortController();
+      const method = target === '/entries' ? 'POST' : 'GET';
+      const end = world.call(ENTRY_ID, { method, target, caller, deadlineMs: 2_000 });
+      await world.timer.advance(LEAVES_AFTER_MS);
+      caller.abort();
+      const { outcome, text } = await world.until(end);
+      await world.timer.advance(1_000);
+      seen.push(`${method} ${target}: ${outcome} ${text}, runs ${world.runs.get(target) ?? 0}`);
+    }
+    t.matchSnapshot(seen, 'ends');
+  },
+);
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -15,7 +15,7 @@
 import { Placement, TargetBoard, makePicker } from '../placement/mod.ts';
 import type { Configuration, DocumentSource } from '../configuration/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
-import type { Settings } from '../settings/mod.ts';
+import { reloadSettings, type Settings } from '../settings/mod.ts';
 import { VersionSpread } from '../spread/mod.ts';
 import { Guard, Quarantine, type TargetPort } from '../guard/mod.ts';
 import { PauseWatch, sleep, type Subscription, type TimerService } from '../timer/mod.ts';
@@ -38,6 +38,8 @@
   dialer: Dialer;
   platform: DocumentSource;
   target: TargetPort;
+  /** @returns The time of day, in milliseconds, which also passes while the machine is suspended. */
+  wallNow?: () => number;
   /** Incarnation of this run; a fresh one by default. */
   incarnation?: string;
 }
@@ -52,7 +54,7 @@
   readonly owner: KeyOwner;
   /** The most recent decisions and ends of calls. */
   readonly journal: MemoryLog;
-  readonly #settings: Settings;
+  #settings: Settings;
   readonly #timer: TimerService;
   readonly #log: EventLog;
   readonly #view: WorldView;
@@ -132,10 +134,13 @@
       link: (peer) => this.#linkTo(peer),
       signal: this.#stopped.signal,
     });
-    this.#pauseWatch = new PauseWatch(timer);
+    this.#pauseWatch = new PauseWatch(timer, { wallNow: options.wallNow });
     this.#pauseWatch.onPause((gapMs) => {
       void this.#resume(gapMs);
     });
+    this.#pauseWatch.onSuspension((gapMs) => {
+      void this.#readAgain(gapMs);
+    });
     this.#pruning = timer.every(PRUNE_PERIOD_MS, () => {
       this.#board.prune((id) => this.#view.fleet.find(id) !== undefined);
     });
@@ -188,6 +193,20 @@
     this.#log.write(Event.DaemonStarted, { instance: id, failureDomain, incarnation, version });
   }
 
+  /**
+   * Takes on changed settings as far as a running daemon can.
+   *
+   * @param read Settings as they were read now.
+   */
+  reload(read: Settings): void {
+    const { settings, applied, deferred } = reloadSettings(this.#settings, read);
+    this.#settings = settings;
+    this.#log.write(Event.SettingsReloaded, {
+      applied: applied.join(','),
+      deferred: deferred.join(','),
+    });
+  }
+
   /**
    * Serves one call of a caller.
    *
@@ -339,6 +358,14 @@
     this.#log.write(Event.DaemonResumed, { version: this.#view.version });
   }
 
+  /** A mere step of the time of day must cut nothing, so links and calls are left alone. */
+  async #readAgain(gapMs: number): Promise<void> {
+    if (this.stage !== LifeStage.Live) return;
+    this.#log.write(Event.DaemonSuspended, { gapMs: Math.round(gapMs) });
+    await this.#learning.once();
+    this.#log.write(Event.DaemonResumed, { version: this.#view.version });
+  }
+
   async #runOwned(call: Call): ReturnType<Entry['runOwned']> {
     this.#pauseWatch.check();
     return this.entry.runOwned(call);
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -14,7 +14,7 @@
 } from '../link/mod.ts';
 import { Metric, type Metrics } from '../metrics/mod.ts';
 import type { Settings } from '../settings/mod.ts';
-import { RealTimer, type Subscription, type TimerService } from '../timer/mod.ts';
+import { RealTimer, wallNow, type Subscription, type TimerService } from '../timer/mod.ts';
 import { connectPlatform, type ClosableSource } from './connect_platform.ts';
 import { Daemon } from './daemon.ts';
 import { loadMetrics } from './load_metrics.ts';
@@ -75,7 +75,7 @@
     const target = new TargetClient(settings.target.url, { ...settings.target, dialect });
     const metrics = loadMetrics(settings, timer);
     const dialer = new WsDialer();
-    const daemon = new Daemon({ settings, timer, log, dialer, platform, target });
+    const daemon = new Daemon({ settings, timer, wallNow, log, dialer, platform, target });
     const view = operatorView(daemon, metrics);
     const { metricsListener } = settings;
     const listening = await Promise.all([
@@ -126,6 +126,11 @@
     return this.#servers.operators.port;
   }
 
+  /** @param settings Settings as they were read now. */
+  reload(settings: Settings): void {
+    this.daemon.reload(settings);
+  }
+
   /** Stops without cutting a call. */
   async drain(): Promise<void> {
     await this.daemon.drain();
--- a/daemon/main.ts
+++ b/daemon/main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 import { readFileSync } from 'node:fs';
 import { cac } from 'cac';
-import { ConsoleLog } from '../event_log/mod.ts';
+import { ConsoleLog, Event } from '../event_log/mod.ts';
 import { formatFinding } from '../finding/mod.ts';
 import { parseSettings } from '../settings/mod.ts';
 import { DaemonProcess } from './daemon_process.ts';
@@ -38,6 +38,26 @@
     process.exit(EXIT_FAILED);
   }
   stopOnSignal(started.value, log);
+  reloadOnSignal(started.value, file, log);
+}
+
+/** Settings that cannot be read leave the ones before in force. */
+function reloadOnSignal(started: DaemonProcess, file: string, log: ConsoleLog): void {
+  process.on('SIGHUP', () => {
+    try {
+      if (file === '-') throw new Error('standard input cannot be read again');
+      const settings = parseSettings(file, readFileSync(file, 'utf8'));
+      if (settings.isOk()) {
+        started.reload(settings.value);
+        return;
+      }
+      const findings = settings.error.map(formatFinding).join('; ');
+      log.write(Event.SettingsRejected, { file, findings });
+    } catch (error) {
+      const findings = error instanceof Error ? error.message : 'unreadable';
+      log.write(Event.SettingsRejected, { file, findings });
+    }
+  });
 }
 
 function stopOnSignal(started: DaemonProcess, log: ConsoleLog): void {
--- a/daemon/process_test.ts
+++ b/daemon/process_test.ts
@@ -83,6 +83,18 @@
   t.matchSnapshot({ calls: await Promise.all(calls), exits: await exits }, 'calls and exit codes');
 });
 
+void t.test('rhubarbkeeld goes on serving after SIGHUP', async (t) => {
+  const deployment = await start(SERVICE_MS);
+  t.teardown(() => deployment.stop());
+  const [entry] = deployment.members;
+  const [origin = ''] = deployment.origins;
+  if (!entry) throw new Error('expected a daemon');
+  const open = call(origin);
+  await untilOpen(entry, 1);
+  entry.process.kill('SIGHUP');
+  t.matchSnapshot({ open: await open, later: await call(origin) }, 'calls');
+});
+
 void t.test('rhubarbkeeld ends at once on a second SIGTERM', async (t) => {
   const deployment = await start(HANGING_MS);
   t.teardown(() => deployment.stop());
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -208,6 +208,9 @@
       decision.candidate.view.begin()(AttemptSign.Lost);
       return err({ kind: FailureKind.NotSent, refusal: opened.error, load: undefined });
     }
+    // Dialing takes a while; the caller may have left, or the deadline passed, meanwhile.
+    const stop = this.#reasonToStop(call, sent.fingerprint);
+    if (stop) return err({ kind: FailureKind.NotSent, refusal: stop, load: undefined });
     const attempt = this.#makeAttempt(call, sent);
     const ended = await this.#send({ decision, attempt, port: opened.value });
     if (ended.isErr())
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -190,6 +190,9 @@
 
   #objectionTo(attempt: Attempt, phase: AdmissionPhase): Refusal | undefined {
     const { call, fingerprint } = attempt;
+    if (call.signal.aborted) {
+      return notRun(RefusalReason.Cancelled, 'the caller left before the target was reached');
+    }
     if (call.deadline.hasPassed) {
       return notRun(
         RefusalReason.DeadlinePassed,
--- a/settings/mod.ts
+++ b/settings/mod.ts
@@ -9,4 +9,5 @@
  *
  * @module
  */
+export * from './reload.ts';
 export * from './settings.ts';
--- a/tap-snapshots/dist/daemon/process_test.js.test.cjs
+++ b/tap-snapshots/dist/daemon/process_test.js.test.cjs
@@ -26,3 +26,10 @@
   ],
 }
 `
+
+exports[`dist/daemon/process_test.js > TAP > rhubarbkeeld goes on serving after SIGHUP > calls 1`] = `
+Object {
+  "later": "200 answered",
+  "open": "200 answered",
+}
+`
--- a/timer/pause_watch.ts
+++ b/timer/pause_watch.ts
@@ -6,6 +6,8 @@
   periodMs?: number;
   /** Silence that counts as a pause, in milliseconds. */
   thresholdMs?: number;
+  /** @returns The time of day, in milliseconds; without it, suspensions go unseen. */
+  wallNow?: (() => number) | undefined;
 }
 
 const DEFAULT_PERIOD_MS = 100;
@@ -20,8 +22,11 @@
   readonly #timer: TimerService;
   readonly #thresholdMs: number;
   readonly #subscription: Subscription;
+  readonly #wallNow: () => number;
   readonly #listeners = new Set<(gapMs: number) => void>();
+  readonly #suspensionListeners = new Set<(gapMs: number) => void>();
   #lastBeatMs: number;
+  #lastWallMs: number;
 
   /**
    * @param timer The source of time.
@@ -30,7 +35,9 @@
   constructor(timer: TimerService, options: PauseWatchOptions = {}) {
     this.#timer = timer;
     this.#thresholdMs = options.thresholdMs ?? DEFAULT_THRESHOLD_MS;
+    this.#wallNow = options.wallNow ?? (() => timer.now());
     this.#lastBeatMs = timer.now();
+    this.#lastWallMs = this.#wallNow();
     this.#subscription = timer.every(options.periodMs ?? DEFAULT_PERIOD_MS, () => {
       this.check();
     });
@@ -45,6 +52,12 @@
     const nowMs = this.#timer.now();
     const gapMs = nowMs - this.#lastBeatMs;
     this.#lastBeatMs = nowMs;
+    const wallMs = this.#wallNow();
+    const unseenMs = wallMs - this.#lastWallMs - gapMs;
+    this.#lastWallMs = wallMs;
+    if (unseenMs >= this.#thresholdMs) {
+      for (const listener of this.#suspensionListeners) listener(unseenMs);
+    }
     if (gapMs < this.#thresholdMs) return false;
     for (const listener of this.#listeners) listener(gapMs);
     return true;
@@ -57,6 +70,16 @@
     this.#listeners.add(listener);
   }
 
+  /**
+   * The steady clock does not count a suspension of the machine, the time of
+   * day does; a step of the time of day looks the same.
+   *
+   * @param listener Called with the length of each possible suspension in milliseconds.
+   */
+  onSuspension(listener: (gapMs: number) => void): void {
+    this.#suspensionListeners.add(listener);
+  }
+
   /** Stops the periodic check. */
   close(): void {
     this.#subscription.cancel();
--- a/timer/real_timer.ts
+++ b/timer/real_timer.ts
@@ -1,5 +1,10 @@
 import type { Subscription, TimerService } from './timer_service.ts';
 
+/** @returns The time of day, in milliseconds since the Unix epoch. */
+export function wallNow(): number {
+  return Date.now();
+}
+
 /** A {@linkcode TimerService} over the monotonic clock of the process. */
 export class RealTimer implements TimerService {
   now(): number {
