Close a socket whose shutdown is under way instead of resetting it

Cause of the process test that spun at its end in 3 of 23 runs: the engine's reset of a socket fails (EINVAL) while the socket's shutdown is under way, and the handle is then neither closed nor free; the process spins as it frees its environment. The stand-in for a target resets its sockets just as the daemons' ends arrive. A bare server of 10 lines that resets in a microtask after its client's end shows it on every run. The daemon does the same when an answer is cut while its client ends its side: it would have leaked the descriptor.

--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -17,6 +17,7 @@
 import { listen, type ListenError } from './listen.ts';
 import { OwnDialect } from './own_dialect.ts';
 import { toProblem } from './problem.ts';
+import { resetSocket } from './reset_socket.ts';
 
 /** Largest head of a request, in bytes; callers stay within it. */
 const MAX_HEADER_BYTES = 16_384;
@@ -198,7 +199,7 @@
   for await (const chunk of body) {
     if (chunk.isErr()) {
       // A reset, so that no client can take the part that was sent for the whole.
-      outgoing.socket?.resetAndDestroy();
+      if (outgoing.socket) resetSocket(outgoing.socket);
       return;
     }
     if (!outgoing.write(chunk.value)) await drained(outgoing);
--- a/link/mod.ts
+++ b/link/mod.ts
@@ -32,6 +32,7 @@
 export * from './peer_link.ts';
 export * from './peer_server.ts';
 export * from './problem.ts';
+export * from './reset_socket.ts';
 export * from './stall_watch.ts';
 export * from './stream_body.ts';
 export * from './target_client.ts';
--- a/stand_in/store_stand_in.ts
+++ b/stand_in/store_stand_in.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { resetSocket } from '../link/mod.ts';
 import { RealTimer } from '../timer/mod.ts';
 
 /** How the store treats its readers. */
@@ -110,7 +111,7 @@
         outgoing.writeHead(429).end();
         break;
       case StoreMode.Resetting:
-        incoming.socket.resetAndDestroy();
+        resetSocket(incoming.socket);
         break;
       case StoreMode.Silent:
         break;
--- a/stand_in/target_stand_in.ts
+++ b/stand_in/target_stand_in.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
-import { HeaderName } from '../link/mod.ts';
+import { HeaderName, resetSocket } from '../link/mod.ts';
 import { RealTimer, sleep } from '../timer/mod.ts';
 
 /** How a target behaves. */
@@ -100,7 +100,7 @@
 
   /** Ends at once, cutting every connection. */
   crash(): void {
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) resetSocket(socket);
     this.#server.close();
     this.#running = 0;
     this.#waiting.length = 0;
