Log the targets that were compared, with the age of the chosen one's load

What decided was not told apart, nor the age of the load it was decided by.

Pickers return what they compared; the line has `compared`, `eligible` and `loadAgeMs`. The choice itself is the same: the near targets drawn are compared with far ones only if the near choice costs more than the way there.

--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -284,7 +284,9 @@
       proximity,
       outstanding: view.outstanding,
       waitMs: round(view.expectedWaitMs),
-      candidates: decision.candidates.map(describeCandidate).join(','),
+      compared: decision.compared.map(describeCandidate).join(','),
+      eligible: decision.eligible,
+      loadAgeMs: view.loadAgeMs,
       leftMs: round(call.deadline.leftMs),
       version,
     });
--- a/placement/baseline_pickers.ts
+++ b/placement/baseline_pickers.ts
@@ -1,7 +1,8 @@
 import type { RandomSource } from '../random/mod.ts';
 import type { Candidate } from './candidate.ts';
-import { PickerKind, type Picker } from './picker.ts';
-import { cheapest, sample } from './sample.ts';
+import { PickerKind, type Choice, type Picker } from './picker.ts';
+import { choose } from './choose.ts';
+import { sample } from './sample.ts';
 
 /** Chooses any target with equal probability. */
 export class RandomPicker implements Picker {
@@ -13,8 +14,8 @@
     this.#random = random;
   }
 
-  pick(candidates: readonly Candidate[]): Candidate | undefined {
-    return sample(candidates, 1, this.#random)[0];
+  pick(candidates: readonly Candidate[]): Choice | undefined {
+    return choose(sample(candidates, 1, this.#random), () => 0);
   }
 }
 
@@ -23,9 +24,10 @@
   readonly kind = PickerKind.RoundRobin;
   #next = 0;
 
-  pick(candidates: readonly Candidate[]): Candidate | undefined {
+  pick(candidates: readonly Candidate[]): Choice | undefined {
     this.#next += 1;
-    return candidates[this.#next % Math.max(1, candidates.length)];
+    const candidate = candidates[this.#next % Math.max(1, candidates.length)];
+    return candidate && { candidate, compared: [candidate] };
   }
 }
 
@@ -39,9 +41,9 @@
     this.#random = random;
   }
 
-  pick(candidates: readonly Candidate[]): Candidate | undefined {
+  pick(candidates: readonly Candidate[]): Choice | undefined {
     const shuffled = sample(candidates, candidates.length, this.#random);
-    return cheapest(shuffled, ({ view }) => view.outstanding);
+    return choose(shuffled, ({ view }) => view.outstanding);
   }
 }
 
@@ -55,7 +57,7 @@
     this.#random = random;
   }
 
-  pick(candidates: readonly Candidate[]): Candidate | undefined {
-    return cheapest(sample(candidates, 2, this.#random), ({ view }) => view.outstanding);
+  pick(candidates: readonly Candidate[]): Choice | undefined {
+    return choose(sample(candidates, 2, this.#random), ({ view }) => view.outstanding);
   }
 }
--- a/placement/expected_cost_picker.ts
+++ b/placement/expected_cost_picker.ts
@@ -1,8 +1,9 @@
 import { Proximity } from '../failure_domain/mod.ts';
 import type { RandomSource } from '../random/mod.ts';
 import type { Candidate } from './candidate.ts';
-import { PickerKind, type Picker } from './picker.ts';
-import { cheapest, sample } from './sample.ts';
+import { choose } from './choose.ts';
+import { PickerKind, type Choice, type Picker } from './picker.ts';
+import { sample } from './sample.ts';
 
 /** Candidates drawn from each ring of proximity. */
 const SAMPLE_SIZE = 3;
@@ -30,20 +31,16 @@
     this.#random = random;
   }
 
-  pick(candidates: readonly Candidate[]): Candidate | undefined {
+  pick(candidates: readonly Candidate[]): Choice | undefined {
     const near = candidates.filter(({ proximity }) => proximity !== Proximity.OtherRegion);
     const far = candidates.filter(({ proximity }) => proximity === Proximity.OtherRegion);
-    const nearChoice = this.#cheapestOf(near);
-    if (!nearChoice) return this.#cheapestOf(far);
-    if (expectedCostMs(nearChoice) <= DEFAULT_ROUND_TRIP_MS[Proximity.OtherRegion]) {
-      return nearChoice;
-    }
-    const farChoice = this.#cheapestOf(far);
-    return cheapest(farChoice ? [nearChoice, farChoice] : [nearChoice], expectedCostMs);
-  }
-
-  #cheapestOf(candidates: readonly Candidate[]): Candidate | undefined {
-    return cheapest(sample(candidates, SAMPLE_SIZE, this.#random), expectedCostMs);
+    const drawn = sample(near, SAMPLE_SIZE, this.#random);
+    const choice = choose(drawn, expectedCostMs);
+    const isNearEnough =
+      choice !== undefined &&
+      expectedCostMs(choice.candidate) <= DEFAULT_ROUND_TRIP_MS[Proximity.OtherRegion];
+    if (isNearEnough) return choice;
+    return choose([...drawn, ...sample(far, SAMPLE_SIZE, this.#random)], expectedCostMs);
   }
 }
 
--- a/placement/picker.ts
+++ b/placement/picker.ts
@@ -10,12 +10,19 @@
   ExpectedCost = 'expected-cost',
 }
 
+/** A chosen target. */
+export interface Choice {
+  candidate: Candidate;
+  /** The targets that were compared, the chosen one among them. */
+  compared: readonly Candidate[];
+}
+
 /** Chooses one of several targets. */
 export interface Picker {
   readonly kind: PickerKind;
   /**
    * @param candidates Targets that may execute the call.
-   * @returns The chosen one; `undefined` only if there are none.
+   * @returns The choice; `undefined` only if there are none.
    */
-  pick(candidates: readonly Candidate[]): Candidate | undefined;
+  pick(candidates: readonly Candidate[]): Choice | undefined;
 }
--- a/placement/placement.ts
+++ b/placement/placement.ts
@@ -21,8 +21,10 @@
   instance: Instance;
   candidate: Candidate;
   reason: PlacementReason;
-  /** The candidates seen. */
-  candidates: readonly Candidate[];
+  /** The candidates that the picker compared. */
+  compared: readonly Candidate[];
+  /** Number of candidates that it drew them from. */
+  eligible: number;
 }
 
 /** The world as one decision sees it. */
@@ -60,13 +62,15 @@
     const candidates = this.#candidatesFor(route, pool, scene);
     const healthy = candidates.filter(({ view }) => !view.isOutlier);
     const eligible = healthy.length > 0 ? healthy : candidates;
-    const candidate = this.#picker.pick(eligible);
-    if (!candidate) {
+    const choice = this.#picker.pick(eligible);
+    if (!choice) {
       const detail = `pool "${pool}" has no target left that accepts calls, tried ${scene.excluded.size}`;
       return err(notRun(RefusalReason.NoTarget, detail));
     }
     const reason = this.#reasonFor(scene, healthy.length);
-    return ok({ instance: candidate.instance, candidate, reason, candidates: eligible });
+    const { candidate, compared } = choice;
+    const { instance } = candidate;
+    return ok({ instance, candidate, reason, compared, eligible: eligible.length });
   }
 
   #candidatesFor(route: Route, pool: string, scene: PlacementScene): Candidate[] {
--- a/placement/target_view.ts
+++ b/placement/target_view.ts
@@ -58,6 +58,11 @@
     return this.#timer.now() < this.#avoidUntilMs;
   }
 
+  /** @returns Age of the last reported load, in whole milliseconds; nothing before the first. */
+  get loadAgeMs(): number | undefined {
+    return this.#load && Math.round(this.#timer.now() - this.#loadAtMs);
+  }
+
   /** @returns Mean time of a call at the target, in milliseconds. */
   get serviceMs(): number {
     return this.#load?.serviceMs ?? DEFAULT_SERVICE_MS;
