Soak real daemons under faults from outside, and judge what callers and targets see

Daemons run as processes on addresses of the loopback interface; a proxy on each way (callers, peers, target, store) delays, resets, cuts one way or silences; signals pause, kill, stop and reload in series that overlap; targets crash, leave and come back cold; operators change the configuration and take failure domains out. Clients use their connections until they end. Judged from outside: at most once, true refusals, whole answers to their own calls, unchanged calls, home regions, the cold rate, leaving targets, evacuation, planned stops, configuration, recovery, processes that end by themselves. Machines are held to bounds in time only if no unplanned fault harmed them in the last 4 s, as on the users' sites.

soak/promises_test.ts shows that each kind of broken promise is found. No clock is set: daemons use the time of day only to notice suspensions.

--- /dev/null
+++ b/soak/promises_test.ts
@@ -0,0 +1,72 @@
+import t from 'tap';
+import { answerTo } from '../stand_in/mod.ts';
+import { judge, type SeenCall, type SeenRun } from './promises.ts';
+
+const CALL: SeenCall = {
+  id: 'c-1',
+  method: 'POST',
+  path: '/result/1',
+  bodyBytes: 4,
+  isSafe: false,
+  homeRegions: ['ar-centro'],
+  machineId: '127.1.0.1',
+  callerPool: 'boards',
+  sentAtMs: 0,
+  endedAtMs: 50,
+  status: 200,
+  isSigned: true,
+  body: answerTo('c-1', '/result/1'),
+  wasCalm: true,
+};
+const RUN: SeenRun = {
+  callId: 'c-1',
+  targetId: 'i-1-1',
+  method: 'POST',
+  path: '/result/1',
+  callerPool: 'boards',
+  bodyBytes: 4,
+  atMs: 10,
+  isCold: false,
+  region: 'ar-centro',
+};
+const COLD_RUNS = 20;
+
+interface Case {
+  call?: Partial<SeenCall>;
+  runs?: Partial<SeenRun>[];
+}
+
+const CASES: Record<string, Case> = {
+  'a call that ran and was answered': {},
+  'a call that ran twice': { runs: [{}, {}] },
+  'a safe call that ran twice': { call: { isSafe: true }, runs: [{}, {}] },
+  'a refusal of a call that ran': { call: { status: 503, isSigned: false, body: '' } },
+  'a refusal of a call that did not run': { call: { status: 503 }, runs: [] },
+  'an answer to another call': { call: { body: answerTo('c-2', '/result/1') } },
+  'an answer without a signature': { call: { isSigned: false } },
+  'an answer that was cut': { call: { body: undefined } },
+  'a run with another path': { runs: [{ path: '/result/2' }] },
+  'a run under another pool of the caller': { runs: [{ callerPool: 'none' }] },
+  'a run that nobody asked for': { runs: [{}, { callId: 'c-9' }] },
+  'a run in another region': { runs: [{ region: 'ar-sur' }] },
+  'a connection cut while the call ran': { call: { status: undefined, body: undefined } },
+  'the same beside a fault': { call: { status: undefined, body: undefined, wasCalm: false } },
+  'too many calls at a cold target': {
+    call: { isSafe: true },
+    runs: Array.from({ length: COLD_RUNS }, (_, index) => ({ isCold: true, atMs: index * 40 })),
+  },
+};
+
+void t.test('judge() finds each kind of broken promise', (t) => {
+  for (const [name, { call, runs = [{}] }] of Object.entries(CASES)) {
+    const findings = judge(
+      [{ ...CALL, ...call }],
+      runs.map((run) => ({ ...RUN, ...run })),
+    );
+    t.matchSnapshot(
+      findings.map(({ promised, detail }) => `${promised}: ${detail}`),
+      name,
+    );
+  }
+  t.end();
+});
--- a/stand_in/mod.ts
+++ b/stand_in/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export * from './platform_items.ts';
 export * from './platform_stand_in.ts';
+export * from './platform_target.ts';
 export * from './store_stand_in.ts';
 export * from './target_stand_in.ts';
--- /dev/null
+++ b/stand_in/platform_target.ts
@@ -0,0 +1,140 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { resetSocket } from '../link/mod.ts';
+import { RealTimer, sleep } from '../timer/mod.ts';
+import { CALLER_POOL_HEADER, COLD_MS } from './platform_items.ts';
+import { readAll } from './read_all.ts';
+
+/** A call that a target has begun to run. */
+export interface TargetRun {
+  callId: string;
+  targetId: string;
+  method: string;
+  path: string;
+  callerPool: string;
+  bodyBytes: number;
+  /** Moment of the timer service. */
+  atMs: number;
+  isCold: boolean;
+}
+
+/** What a {@linkcode PlatformTarget} needs. */
+export interface PlatformTargetOptions {
+  host: string;
+  port: number;
+  slots: number;
+  serviceMs: number;
+  timer: RealTimer;
+  /** Called with each run, before its time is spent. */
+  onRun: (run: TargetRun) => void;
+}
+
+/**
+ * @param callId Identifier of a call.
+ * @param path Its path and query.
+ * @returns The whole answer of a target to it.
+ */
+export function answerTo(callId: string, path: string): string {
+  return JSON.stringify({ callId, path });
+}
+
+/** Stands in for a target of the users' platform; each start is a run with another name. */
+export class PlatformTarget {
+  readonly #options: PlatformTargetOptions;
+  readonly #sockets = new Set<Socket>();
+  #server: Server | undefined;
+  #targetId = '';
+  #startedAtMs = 0;
+  #running = 0;
+
+  /** @param options See {@linkcode PlatformTargetOptions}. */
+  constructor(options: PlatformTargetOptions) {
+    this.#options = options;
+  }
+
+  /** @returns Name of the present run. */
+  get targetId(): string {
+    return this.#targetId;
+  }
+
+  /** @param targetId Name of the run that begins; it is cold at first. */
+  async start(targetId: string): Promise<void> {
+    const { host, port, timer } = this.#options;
+    this.#targetId = targetId;
+    this.#startedAtMs = timer.now();
+    this.#running = 0;
+    const server = createServer((req, res) => {
+      void this.#serve(req, res, targetId);
+    });
+    server.on('connection', (socket) => {
+      this.#sockets.add(socket);
+      socket.once('close', () => this.#sockets.delete(socket));
+      socket.on('error', () => undefined);
+    });
+    this.#server = server;
+    await new Promise<void>((resolve) => server.listen(port, host, resolve));
+  }
+
+  /** Ends the run at once, cutting every connection. */
+  async crash(): Promise<void> {
+    const server = this.#server;
+    this.#server = undefined;
+    if (!server) return;
+    const closed = new Promise((resolve) => server.close(resolve));
+    for (const socket of this.#sockets) resetSocket(socket);
+    await closed;
+  }
+
+  get #coldLeftMs(): number {
+    return Math.max(0, COLD_MS - (this.#options.timer.now() - this.#startedAtMs));
+  }
+
+  async #serve(req: IncomingMessage, res: ServerResponse, targetId: string): Promise<void> {
+    const { slots } = this.#options;
+    res.setHeader('Instance-Id', targetId);
+    res.setHeader('Instance-Load', `${this.#running},0,${slots},100`);
+    if (this.#coldLeftMs > 0) res.setHeader('Cold-Remaining', `${Math.round(this.#coldLeftMs)}ms`);
+    if (req.url === '/health') {
+      res.writeHead(200).end();
+      return;
+    }
+    const body = await readAll(req);
+    if (!body) return;
+    const callId = String(req.headers['request-id']);
+    res.setHeader('Request-Id', callId);
+    const expected = req.headers['target-instance'];
+    if (expected !== undefined && expected !== targetId) {
+      res.writeHead(421, { 'Not-Executed': '1' }).end();
+      return;
+    }
+    if (this.#running >= slots) {
+      res.writeHead(503, { 'Not-Executed': '1' }).end();
+      return;
+    }
+    await this.#run(req, res, { callId, targetId, body });
+  }
+
+  async #run(
+    req: IncomingMessage,
+    res: ServerResponse,
+    { callId, targetId, body }: { callId: string; targetId: string; body: Buffer },
+  ): Promise<void> {
+    const { timer, serviceMs, onRun } = this.#options;
+    this.#running += 1;
+    onRun({
+      callId,
+      targetId,
+      method: req.method ?? '',
+      path: req.url ?? '',
+      callerPool: String(req.headers[CALLER_POOL_HEADER]),
+      bodyBytes: body.length,
+      atMs: timer.now(),
+      isCold: this.#coldLeftMs > 0,
+    });
+    await sleep(timer, serviceMs);
+    this.#running = Math.max(0, this.#running - 1);
+    if (res.destroyed) return;
+    const text = answerTo(callId, req.url ?? '');
+    res.writeHead(200, { 'Response-Signature': targetId, 'content-length': text.length }).end(text);
+  }
+}
--- a/stand_in/target_stand_in.ts
+++ b/stand_in/target_stand_in.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { HeaderName, resetSocket } from '../link/mod.ts';
 import { RealTimer, sleep } from '../timer/mod.ts';
+import { readAll } from './read_all.ts';
 
 /** How a target behaves. */
 export interface TargetBehaviour {
@@ -183,13 +184,3 @@
     this.#waiting.shift()?.();
   }
 }
-
-async function readAll(req: IncomingMessage): Promise<Buffer | undefined> {
-  const parts: Buffer[] = [];
-  try {
-    for await (const part of req) parts.push(part as Buffer);
-  } catch {
-    return undefined;
-  }
-  return Buffer.concat(parts);
-}
