Go on when the reader of the log has gone

Cause: an error of the log's output (EPIPE) was not handled and ended the daemon. Found by the soak: ending the soak's own process took the readers of six daemons away, and all six died of it. Logging must never stop the daemon; there is nowhere left to say it, so lines are discarded from then on.

--- a/event_log/console_log.ts
+++ b/event_log/console_log.ts
@@ -16,6 +16,8 @@
   readonly #output: InstanceType<typeof sonicBoom.SonicBoom>;
   #lines: string[] = [];
   #dropped = 0;
+  /** Whether nobody can read the lines any more. */
+  #isClosed = false;
 
   constructor() {
     this.#output = new sonicBoom.SonicBoom({
@@ -26,6 +28,10 @@
     this.#output.on('drop', (text: string | Buffer) => {
       this.#dropped += String(text).split('\n').length - 1;
     });
+    // There is nowhere left to say that the reader has gone; the daemon goes on without it.
+    this.#output.on('error', () => {
+      this.#isClosed = true;
+    });
     this.#consola = createConsola({
       reporters: [
         {
@@ -38,6 +44,7 @@
   }
 
   write(event: Event, fields: Fields): void {
+    if (this.#isClosed) return;
     if (this.#lines.length === 0) {
       setImmediate(() => {
         this.#pass();
@@ -48,8 +55,14 @@
 
   /** Writes what has not been written yet, before the process ends. */
   flush(): void {
+    if (this.#isClosed) return;
     this.#pass();
-    this.#output.flushSync();
+    try {
+      this.#output.flushSync();
+    } catch {
+      // The reader has just gone; what waits can reach nobody.
+      this.#isClosed = true;
+    }
   }
 
   #pass(): void {
