--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -59,7 +59,10 @@
   }
 }
 
-/** A process is told to stop; it must end by itself in time, with 0. */
+/**
+ * A process is told to stop; one that served must end by itself in time, with 0.
+ * One that is just starting may end by the signal.
+ */
 export class PlannedStop implements SoakFault {
   readonly name = 'planned-stop';
 
@@ -68,11 +71,12 @@
     const machine = oneOf(world.machines, random);
     if (this.#stopping.has(machine)) return;
     this.#stopping.add(machine);
+    const isServing = await machine.isServing();
     const startMs = timer.now();
     const code = await machine.signal('SIGTERM');
     const elapsedMs = Math.round(timer.now() - startMs);
     this.#stopping.delete(machine);
-    if (!machine.wasCalmSince(startMs)) return;
+    if (!isServing || !machine.wasCalmSince(startMs)) return;
     if (code === 0 && elapsedMs <= GRACE_MS) return;
     const detail = `${machine.id} ended with ${code ?? 'a signal'} after ${elapsedMs} ms`;
     world.findings.push(finding(Promised.PlannedStop, detail));
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -101,11 +101,12 @@
   world: SoakWorld,
   { random, faultsMs, onFault }: SoakOptions & { random: SeededRandom },
 ): Promise<number> {
+  const plannedStop = new PlannedStop();
   const kinds: SoakFault[] = [
     new ProcessPause(),
     new ProcessKill(),
-    new PlannedStop(),
-    new PlannedStop(),
+    plannedStop,
+    plannedStop,
     new SettingsReload(),
     new PathFault(),
     new StoreOutage(),
--- a/soak/soak_machine.ts
+++ b/soak/soak_machine.ts
@@ -2,6 +2,7 @@
 import { createWriteStream, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
 import { PlatformTarget, type TargetRun } from '../stand_in/mod.ts';
 import { sleep, type RealTimer } from '../timer/mod.ts';
 import { FaultProxy, type Address } from './fault_proxy.ts';
@@ -99,10 +100,17 @@
     return `http://${this.id}:${this.#options.ports.callers}`;
   }
 
-  /** @returns Where the platform asks whether the daemon is ready. */
-  get readyUrl(): string {
+  /** @returns Whether the daemon says that it is ready, as the platform asks it. */
+  async isServing(): Promise<boolean> {
     const { host, port } = this.#address(Network.Daemon, this.#options.ports.operators);
-    return `http://${host}:${port}/health`;
+    try {
+      const res = await request(`http://${host}:${port}/health`);
+      await res.body.dump();
+      return res.statusCode === 200;
+    } catch {
+      // Nothing listens yet.
+      return false;
+    }
   }
 
   /** @returns `host:port` of the target as its entry names it. */
