Restart a target of the soak once, and end the daemons with the soak

Its six daemons went on without it until the readers of their logs were gone. A restart under way is not begun again, and the end of the soak ends what it has started.

--- a/soak/soak_machine.ts
+++ b/soak/soak_machine.ts
@@ -184,6 +184,9 @@
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     child.stdout.pipe(log);
+    const endWithSoak = () => child.kill('SIGKILL');
+    process.once('exit', endWithSoak);
+    child.once('close', () => process.off('exit', endWithSoak));
     this.#child = child;
     this.#isEndExpected = false;
     this.#ended = new Promise((resolve) => child.once('close', resolve));
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -8,6 +8,8 @@
   'a short one': { seed: 1, machines: 4, faultsMs: 8_000 },
   // A stop's signal reached a process that had not begun to listen to signals; it had served nothing.
   'a signal to a process that is starting': { seed: 14, machines: 6, faultsMs: 12_000 },
+  // A target left and crashed at the same time, and was started twice.
+  'two ends of one target': { seed: 21, machines: 6, faultsMs: 12_000 },
 };
 
 for (const [name, options] of Object.entries(CASES)) {
--- a/soak/soak_world.ts
+++ b/soak/soak_world.ts
@@ -54,6 +54,7 @@
   readonly #runPlaces = new Map<string, SoakMachine[]>();
   readonly #drainedAtMs = new Map<string, number>();
   readonly #evacuatedAtMs = new Map<string, number>();
+  readonly #restartingTargets = new Set<SoakMachine>();
   #version = 0;
   #routes = [...ROUTES];
 
@@ -135,12 +136,15 @@
 
   /** @param machine Machine whose target crashes; another run begins a while later. */
   async restartTarget(machine: SoakMachine): Promise<void> {
+    if (this.#restartingTargets.has(machine)) return;
+    this.#restartingTargets.add(machine);
     machine.harm(this.timer.now() + TARGET_RESTART_MS);
     const key = entryKey(machine.target.targetId);
     await machine.target.crash();
     await sleep(this.timer, TARGET_RESTART_MS);
     this.#store.remove(key);
     await this.#startTarget(machine);
+    this.#restartingTargets.delete(machine);
   }
 
   /** @param machine Machine whose target says that it leaves, serves on for a while, and ends. */
