Log the versions by which an entry and a guard decide, and count where they disagree

The record's logs name the reason of a guard's refusal, but not the version it was made at, nor the one the entry had decided by, so a route that was moved could not be told from one that never was; which daemon was behind had to be worked out from the configuration-applied lines of two machines. Calls refused at admission had no detail at all.

attempt-refused and attempt-failed now name both versions (version, decidedAt), a refusal by the link's own look-up has a line too, and call-not-admitted tells the path and the version. The counter rhubarbkeel_version_disagreements tells whether the entry was older, newer or at the same version. A further counter used to be added to that of calls.

No decision has changed.

--- a/contract/refusal.ts
+++ b/contract/refusal.ts
@@ -46,6 +46,8 @@
   nextKey?: string;
   /** `host:port` of daemons that may accept the call. */
   addresses?: readonly string[];
+  /** Version of the configuration in force at the daemon that refused. */
+  version?: number;
 }
 
 /**
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -12,6 +12,7 @@
 import { KeyOwner } from '../idempotency/mod.ts';
 import { LifeStage, newIncarnation, type Instance } from '../instance/mod.ts';
 import { FrameKind, LinkTable, PeerLink, type Dialer, type FrameChannel } from '../link/mod.ts';
+import { NoMetrics, type Metrics } from '../metrics/mod.ts';
 import { Placement, TargetBoard, makePicker } from '../placement/mod.ts';
 import type { Configuration, DocumentSource } from '../configuration/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
@@ -35,6 +36,8 @@
   settings: Settings;
   timer: TimerService;
   log: EventLog;
+  /** Receives measurements; none are kept by default. */
+  metrics?: Metrics;
   dialer: Dialer;
   platform: DocumentSource;
   target: TargetPort;
@@ -90,6 +93,7 @@
       probePeriodMs: settings.target.probePeriodMs,
       slots: () => this.#view.fleet.find(instance.id)?.slots,
       pool: () => this.#view.configuration?.pool(instance.pool),
+      version: () => this.#view.version,
       objection: (attempt, phase) => {
         this.#pauseWatch.check();
         return this.#view.objectionToAttempt(attempt, phase);
@@ -113,7 +117,7 @@
       incarnation: this.incarnation,
       ...settings.keys,
     });
-    this.entry = this.#makeEntry(random);
+    this.entry = this.#makeEntry(random, options.metrics ?? new NoMetrics());
     this.spread = new VersionSpread({
       timer,
       log,
@@ -296,7 +300,7 @@
     });
   }
 
-  #makeEntry(random: SeededRandom): Entry {
+  #makeEntry(random: SeededRandom, metrics: Metrics): Entry {
     const { instance, decisions } = this.#settings;
     const timer = this.#timer;
     const log = this.#log;
@@ -306,6 +310,7 @@
     const dispatcher = new Dispatcher({
       timer,
       log,
+      metrics,
       scene,
       attempts,
       peers: this.links,
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -75,7 +75,16 @@
     const target = new TargetClient(settings.target.url, { ...settings.target, dialect });
     const metrics = loadMetrics(settings, timer);
     const dialer = new WsDialer();
-    const daemon = new Daemon({ settings, timer, wallNow, log, dialer, platform, target });
+    const daemon = new Daemon({
+      settings,
+      timer,
+      wallNow,
+      log,
+      metrics,
+      dialer,
+      platform,
+      target,
+    });
     const view = operatorView(daemon, metrics);
     const { metricsListener } = settings;
     const listening = await Promise.all([
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -27,6 +27,7 @@
   type Placement,
   type TargetBoard,
 } from '../placement/mod.ts';
+import { Metric, type Metrics } from '../metrics/mod.ts';
 import type { Quarantine } from '../guard/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 import type { AttemptCounter } from './attempt_counter.ts';
@@ -45,6 +46,13 @@
 /** Longest time spent on learning the end of a keyless call whose link broke, in milliseconds. */
 const KEYLESS_SETTLE_MS = 1_000;
 
+/** How the version that an entry decided by stands to that of the guard that disagreed. */
+enum VersionOrder {
+  Older = 'older',
+  Same = 'same',
+  Newer = 'newer',
+}
+
 /** The world as a daemon sees it at one moment. */
 export interface Scene {
   fleet: Fleet;
@@ -61,6 +69,7 @@
 export interface DispatcherOptions {
   timer: TimerService;
   log: EventLog;
+  metrics: Metrics;
   peers: PeerDirectory;
   placement: Placement;
   board: TargetBoard;
@@ -265,13 +274,23 @@
       kind,
       reason: refusal.reason,
       detail: refusal.detail,
+      version: refusal.version,
+      decidedAt: attempt.configurationVersion,
     });
+    this.#countDisagreement(attempt, refusal);
     const isCrash =
       kind !== FailureKind.Refused && !call.signal.aborted && !call.deadline.hasPassed;
     if (!isCrash || attempt.fingerprint === undefined) return;
     this.#options.onCrash(call, attempt.fingerprint, instance);
   }
 
+  #countDisagreement({ configurationVersion }: Attempt, { reason, version }: Refusal): void {
+    if (reason !== RefusalReason.UnknownRoute || version === undefined) return;
+    this.#options.metrics.increment(Metric.VersionDisagreements, {
+      entry: orderOf(configurationVersion, version),
+    });
+  }
+
   #logDecision(call: Call, decision: Decision, version: number): void {
     const { route } = call;
     const { view, proximity } = decision.candidate;
@@ -297,6 +316,11 @@
   return `${candidate.instance.id}:${round(expectedCostMs(candidate))}`;
 }
 
+function orderOf(entryVersion: number, guardVersion: number): VersionOrder {
+  if (entryVersion === guardVersion) return VersionOrder.Same;
+  return entryVersion < guardVersion ? VersionOrder.Older : VersionOrder.Newer;
+}
+
 function round(value: number): number {
   return Math.round(value * 100) / 100;
 }
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -36,6 +36,8 @@
 const SMALL_BODY_BYTES = 65_536;
 /** Steps in which the shares of a route's pools are drawn. */
 const SHARE_STEPS = 1_000_000;
+/** Longest part of a refusal's detail in a log line, which may hold a caller's path. */
+const MAX_DETAIL_CHARACTERS = 200;
 /** Addresses that a refusal names at most. */
 const MAX_ADDRESSES = 4;
 
@@ -127,6 +129,7 @@
       ? err<Answer, Refusal>(withoutProof(admitted.error, req.key))
       : await this.#execute(admitted.value, req);
     this.#open -= 1;
+    if (admitted.isErr()) this.#logNotAdmitted(callId, admitted.error);
     this.#logEnd(callId, result, startMs);
     const nextKey = this.#nextKey(admitted, result);
     return { callId, result: result.mapErr(withRetryAdvice), nextKey };
@@ -277,6 +280,16 @@
     return given ?? this.#options.owner.issue(route);
   }
 
+  #logNotAdmitted(call: string, { reason, detail }: Refusal): void {
+    const { configurationVersion: version } = this.#options.scene();
+    this.#options.log.write(Event.CallNotAdmitted, {
+      call,
+      reason,
+      detail: detail.slice(0, MAX_DETAIL_CHARACTERS),
+      version,
+    });
+  }
+
   #logEnd(call: string, result: Result<Answer, Refusal>, startMs: number): void {
     const elapsedMs = Math.round((this.#options.timer.now() - startMs) * 100) / 100;
     const end = result.isOk()
--- a/event_log/event.ts
+++ b/event_log/event.ts
@@ -10,6 +10,7 @@
   DaemonResumed = 'daemon-resumed',
   Decision = 'decision',
   CallAnswered = 'call-answered',
+  CallNotAdmitted = 'call-not-admitted',
   AttemptFailed = 'attempt-failed',
   AttemptSettled = 'attempt-settled',
   LinkOpened = 'link-opened',
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -73,6 +73,8 @@
   slots: () => number | undefined;
   /** @returns The rules in force for the target's pool, if the configuration has them. */
   pool: () => Pool | undefined;
+  /** @returns Version of the configuration in force. */
+  version: () => number;
   /**
    * @param attempt An attempt.
    * @param phase When it is looked at.
@@ -382,12 +384,14 @@
     return { status, headers, body, load: this.load };
   }
 
-  #refuse({ sequence, call }: Attempt, refusal: Refusal): AttemptResult {
+  #refuse({ sequence, call, configurationVersion }: Attempt, refusal: Refusal): AttemptResult {
     const { inFlight, limit, queued, stage } = this.load;
     this.#options.log.write(Event.AttemptRefused, {
       call: call.id,
       attempt: sequence,
       reason: refusal.reason,
+      version: this.#options.version(),
+      decidedAt: configurationVersion,
       inFlight,
       limit,
       queued,
@@ -400,7 +404,8 @@
   }
 
   #fail(kind: FailureKind, refusal: Refusal): AttemptResult {
-    const failure: AttemptFailure = { kind, refusal, load: this.load };
+    const version = this.#options.version();
+    const failure: AttemptFailure = { kind, refusal: { ...refusal, version }, load: this.load };
     return err(failure);
   }
 
--- a/link/call_frames.ts
+++ b/link/call_frames.ts
@@ -165,10 +165,10 @@
  * @returns How it ended.
  */
 export function fromFailureFrame(frame: FailureFrame): AttemptFailure {
-  const { reason, outcome, detail } = frame;
+  const { reason, outcome, detail, version } = frame;
   return {
     kind: frame.failure,
-    refusal: { reason, outcome, detail, nextKey: frame.nextKey ?? undefined },
+    refusal: { reason, outcome, detail, nextKey: frame.nextKey ?? undefined, version },
     load: frame.load ?? undefined,
   };
 }
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -317,7 +317,9 @@
     this.#received.set(frame.stream, exchange);
     const route = this.#services.route(frame.workspace, frame.route);
     if (!route) {
-      this.#sendEnd(exchange, err(failureOf(unknownRoute(frame))));
+      const refusal = unknownRoute(frame);
+      this.#logRefused(frame, refusal);
+      this.#sendEnd(exchange, err(failureOf(refusal)));
       return;
     }
     const incoming = frame.body ? undefined : this.#receiveBody(exchange);
@@ -332,6 +334,16 @@
     incoming?.end('the attempt has ended');
   }
 
+  #logRefused({ callId, sequence, version }: CallFrame, { reason }: Refusal): void {
+    this.#services.log.write(Event.AttemptRefused, {
+      call: callId,
+      attempt: sequence,
+      reason,
+      version: this.#services.version(),
+      decidedAt: version,
+    });
+  }
+
   async #serveSettle(frame: SettleFrame): Promise<void> {
     const exchange = new Exchange(frame.stream);
     this.#received.set(frame.stream, exchange);
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -8,6 +8,8 @@
   Links = 'links',
   ConfigurationVersion = 'configuration_version',
   KeptBytes = 'kept_bytes',
+  /** Attempts that a guard refused because its rules are not those that the entry decided by. */
+  VersionDisagreements = 'version_disagreements',
 }
 
 /** Tags of one sample. */
--- a/metrics/prometheus_metrics.ts
+++ b/metrics/prometheus_metrics.ts
@@ -4,22 +4,35 @@
 const PREFIX = 'rhubarbkeel_';
 /** Upper bounds of the latency buckets, in milliseconds. */
 const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
-/** Tag that counters and histograms carry. */
+/** Tag of the latency histogram. */
 const OUTCOME_TAG = 'outcome';
+/** What each counter counts, and the tag that it carries. */
+const COUNTERS: readonly { metric: Metric; help: string; tag: string }[] = [
+  { metric: Metric.Calls, help: 'Calls that ended, by outcome', tag: OUTCOME_TAG },
+  {
+    metric: Metric.VersionDisagreements,
+    help: "Attempts refused because the guard's rules differ, by the order of the entry's version",
+    tag: 'entry',
+  },
+];
 
 /** Keeps measurements for scraping, in the text format of Prometheus. */
 export class PrometheusMetrics implements Metrics {
   readonly #registry: Registry;
-  readonly #calls: Counter;
+  readonly #counters: ReadonlyMap<Metric, Counter>;
   readonly #durations: Histogram;
   readonly #gauges: ReadonlyMap<Metric, Gauge>;
 
   private constructor(
     registry: Registry,
-    instruments: { calls: Counter; durations: Histogram; gauges: ReadonlyMap<Metric, Gauge> },
+    instruments: {
+      counters: ReadonlyMap<Metric, Counter>;
+      durations: Histogram;
+      gauges: ReadonlyMap<Metric, Gauge>;
+    },
   ) {
     this.#registry = registry;
-    this.#calls = instruments.calls;
+    this.#counters = instruments.counters;
     this.#durations = instruments.durations;
     this.#gauges = instruments.gauges;
   }
@@ -35,32 +48,31 @@
     const registry = new library.Registry();
     registry.setDefaultLabels({ instance: instanceId });
     const registers = [registry];
-    const labelNames = [OUTCOME_TAG];
-    const calls = new library.Counter({
-      name: `${PREFIX}${Metric.Calls}`,
-      help: 'Calls that ended, by outcome',
-      labelNames,
-      registers,
+    const counters = COUNTERS.map(({ metric, help, tag }): [Metric, Counter] => {
+      const name = `${PREFIX}${metric}`;
+      return [metric, new library.Counter({ name, help, labelNames: [tag], registers })];
     });
     const durations = new library.Histogram({
       name: `${PREFIX}${Metric.CallMs}`,
       help: 'Time from arrival to answer of a call, in milliseconds',
-      labelNames,
+      labelNames: [OUTCOME_TAG],
       buckets: BUCKETS_MS,
       registers,
     });
+    const counted = new Set(COUNTERS.map(({ metric }) => metric));
     const read = Object.values(Metric).filter(
-      (metric) => metric !== Metric.Calls && metric !== Metric.CallMs,
+      (metric) => metric !== Metric.CallMs && !counted.has(metric),
     );
     const gauges = read.map((metric): [Metric, Gauge] => {
       const name = `${PREFIX}${metric}`;
       return [metric, new library.Gauge({ name, help: `Present ${metric}`, registers })];
     });
-    return new PrometheusMetrics(registry, { calls, durations, gauges: new Map(gauges) });
+    const instruments = { counters: new Map(counters), durations, gauges: new Map(gauges) };
+    return new PrometheusMetrics(registry, instruments);
   }
 
-  increment(_metric: Metric, tags: Tags = {}): void {
-    this.#calls.inc(tags);
+  increment(metric: Metric, tags: Tags = {}): void {
+    this.#counters.get(metric)?.inc(tags);
   }
 
   timing(_metric: Metric, elapsedMs: number, tags: Tags = {}): void {
--- a/metrics/prometheus_metrics_test.ts
+++ b/metrics/prometheus_metrics_test.ts
@@ -9,9 +9,12 @@
   t.equal(await metrics.text(), '', 'nothing before');
   metrics.resolve(await PrometheusMetrics.load('boards-1'));
   metrics.increment(Metric.Calls, { outcome: 'not-run' });
+  metrics.increment(Metric.VersionDisagreements, { entry: 'older' });
   const lines = (await metrics.text()).split('\n').filter((line) => !line.startsWith('#'));
   t.matchSnapshot(
-    lines.filter((line) => /calls\{|call_ms_count|le="(5|10)"|in_flight/.test(line)),
+    lines.filter((line) =>
+      /calls\{|disagreements\{|call_ms_count|le="(5|10)"|in_flight/.test(line),
+    ),
     'samples',
   );
 });
--- a/tap-snapshots/dist/metrics/prometheus_metrics_test.js.test.cjs
+++ b/tap-snapshots/dist/metrics/prometheus_metrics_test.js.test.cjs
@@ -9,6 +9,7 @@
 Array [
   "rhubarbkeel_calls{outcome=\\"answered\\",instance=\\"boards-1\\"} 1",
   "rhubarbkeel_calls{outcome=\\"not-run\\",instance=\\"boards-1\\"} 1",
+  "rhubarbkeel_version_disagreements{entry=\\"older\\",instance=\\"boards-1\\"} 1",
   "rhubarbkeel_call_ms_bucket{le=\\"5\\",instance=\\"boards-1\\",outcome=\\"answered\\"} 0",
   "rhubarbkeel_call_ms_bucket{le=\\"10\\",instance=\\"boards-1\\",outcome=\\"answered\\"} 1",
   "rhubarbkeel_call_ms_count{instance=\\"boards-1\\",outcome=\\"answered\\"} 1",
