Carry a call on under the newer version where an entry and a guard differ

Cause: a call kept the pool that was drawn for it at admission. Guards compare by their own version; where it differed they refused the call as one of an unknown route, and the entry passed that on as its own word, also after it had learned the newer version itself. The same answer came from guards that were older than the entry, and from a daemon without a configuration, whose link looked the route up before anybody asked whether it was ready. The class: a statement that is true of one version, passed on as true of the request.

Now a guard that differs says versions-differ (503, may come back) with its version; one that is older first waits up to 0.5 s for the version that the sender decided by. The entry goes on under the newest rules before each attempt: it finds the route anew, draws a pool anew where its own is gone, and waits for a version that a guard has refused by. A call that may have run is not repeated once a newer version forbids it. An entry that does not know a route waits for a version that peers have before it says so. A call's frame says whether it may run twice (1 byte), so that a guard at another version treats it as its sender does; before, a settlement could fence an attempt that the guard ran as repeatable. A refused attempt that runs at most once is entered in the ledger, so that a late copy never runs.

Ruled out: waiting at entries for a version to be in force everywhere (nobody knows), running the call by the older version at guards that have the newer one (a guard must not act on what it knows to be over), counting these refusals against the four of a call.

--- a/configuration/mod.ts
+++ b/configuration/mod.ts
@@ -18,4 +18,5 @@
 export * from './lapse_grace.ts';
 export * from './http_source.ts';
 export * from './document_source.ts';
+export * from './version_progress.ts';
 export * from './watchers.ts';
--- /dev/null
+++ b/configuration/version_progress.ts
@@ -0,0 +1,64 @@
+import { within, type TimerService } from '../timer/mod.ts';
+
+interface Waiter {
+  version: number;
+  resolve: () => void;
+}
+
+/** Versions of the configuration that a daemon has in force or has heard of, and who waits for them. */
+export class VersionProgress {
+  readonly #timer: TimerService;
+  readonly #waiting = new Set<Waiter>();
+  #reached = 0;
+  #heard = 0;
+
+  /** @param timer The source of time. */
+  constructor(timer: TimerService) {
+    this.#timer = timer;
+  }
+
+  /** @returns The newest version that this daemon or a peer of it has in force. */
+  get heard(): number {
+    return this.#heard;
+  }
+
+  /** @param version A version that a peer has in force. */
+  hear(version: number): void {
+    this.#heard = Math.max(this.#heard, version);
+  }
+
+  /**
+   * Lets everyone go on who waits for this version or an older one.
+   *
+   * @param version The version that has come into force here.
+   */
+  reach(version: number): void {
+    this.#reached = Math.max(this.#reached, version);
+    this.hear(version);
+    for (const each of this.#waiting) {
+      if (each.version > this.#reached) continue;
+      this.#waiting.delete(each);
+      each.resolve();
+    }
+  }
+
+  /**
+   * @param version The version to wait for.
+   * @param limitMs Longest wait, in milliseconds.
+   * @returns Whether this version or a newer one is in force here.
+   */
+  async until(version: number, limitMs: number): Promise<boolean> {
+    if (this.#reached >= version) return true;
+    if (limitMs <= 0) return false;
+    const waiter: Waiter = { version, resolve: () => undefined };
+    const reached = new Promise<true>((resolve) => {
+      waiter.resolve = () => {
+        resolve(true);
+      };
+    });
+    this.#waiting.add(waiter);
+    const isReached = await within(this.#timer, limitMs, reached);
+    this.#waiting.delete(waiter);
+    return isReached ?? false;
+  }
+}
--- a/contract/call.ts
+++ b/contract/call.ts
@@ -15,6 +15,8 @@
   route: Route;
   /** Pool that is to run it, one of the route's. */
   pool: string;
+  /** Version of the configuration that route and pool are taken from. */
+  version: number;
   /** Pool of the instance at which it began. */
   callerPool: string;
   method: string;
@@ -53,8 +55,6 @@
   call: Call;
   /** Fingerprint of the call, if its route asks for one. */
   fingerprint: string | undefined;
-  /** Version of the configuration that the sender decided by. */
-  configurationVersion: number;
   /** Whether to run the call even where it will not end in time, since no other target would either. */
   insists: boolean;
 }
--- a/contract/refusal.ts
+++ b/contract/refusal.ts
@@ -4,6 +4,8 @@
 export enum RefusalReason {
   UnknownWorkspace = 'unknown-workspace',
   UnknownRoute = 'unknown-route',
+  /** The rules in force at the executor are not those that the call was decided by. */
+  VersionsDiffer = 'versions-differ',
   MalformedDeadline = 'malformed-deadline',
   DeadlinePassed = 'deadline-passed',
   TooDeep = 'too-deep',
--- a/contract/route.ts
+++ b/contract/route.ts
@@ -59,6 +59,46 @@
   return repeatability !== Repeatability.Idempotent;
 }
 
+/** The rules that a call was decided by, as its sender names them to the executor. */
+export interface DecidedRules {
+  workspace: string;
+  /** Name of the route. */
+  route: string;
+  pool: string;
+  /** Whether the sender counts on the call running once at most. */
+  runsAtMostOnce: boolean;
+  /** Version of the configuration that all this was taken from. */
+  version: number;
+}
+
+/**
+ * Brings a call under way to a newer version of its route. It never becomes repeatable again: an
+ * attempt made under the older version may count on running at most once.
+ *
+ * @param older The route by which the call was decided.
+ * @param newer The route that it belongs to now.
+ * @returns The route to go on by.
+ */
+export function withNewerRules(older: Route, newer: Route): Route {
+  if (runsAtMostOnce(older)) return { ...newer, repeatability: older.repeatability };
+  // Its caller was asked for no key.
+  return runsAtMostOnce(newer) ? { ...newer, repeatability: Repeatability.Keyless } : newer;
+}
+
+/**
+ * Fits a route to how often the sender of an attempt counts on it to run, since the sender answers
+ * for the call.
+ *
+ * @param route The route by the version in force at the executor.
+ * @param isOnce Whether the sender counts on the call running once at most.
+ * @returns The route to execute the attempt by.
+ */
+export function asSenderCounts(route: Route, isOnce: boolean): Route {
+  if (runsAtMostOnce(route) === isOnce) return route;
+  const repeatability = isOnce ? Repeatability.Keyless : Repeatability.Idempotent;
+  return { ...route, repeatability };
+}
+
 /** Targets that serve the same calls, and their limits. */
 export interface Pool {
   name: string;
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -1,6 +1,7 @@
 import { RefusalReason, notRun, type Call } from '../contract/mod.ts';
 import {
   AttemptCounter,
+  CallRouter,
   Dispatcher,
   Entry,
   KeyRelay,
@@ -23,6 +24,7 @@
 import { handOverKeys, type HandoverResult } from './hand_over_keys.ts';
 import type { DaemonStatus } from './daemon_status.ts';
 import { PeerControl } from './peer_control.ts';
+import { RuleAgreement } from './rule_agreement.ts';
 import { VersionLearning } from './version_learning.ts';
 import { WorldView } from './world_view.ts';
 
@@ -257,6 +259,7 @@
 
   #makeView(): WorldView {
     return new WorldView({
+      timer: this.#timer,
       instance: this.#settings.instance,
       onDomainOut: () => {
         this.guard.refuseWaiting(
@@ -274,6 +277,7 @@
 
   #makeLinks({ dialer, settings }: DaemonOptions): LinkTable {
     const { id, failureDomain } = settings.instance;
+    const agreement = new RuleAgreement(this.#view);
     return new LinkTable({
       instanceId: id,
       incarnation: this.incarnation,
@@ -288,12 +292,14 @@
         log: this.#log,
         guard: this.guard,
         runOwned: (call) => this.#runOwned(call),
-        route: (workspace, name) => this.#view.routes.byName(workspace, name),
+        findRoute: (attempt) => agreement.find(attempt),
+        findNewerRoute: (attempt) => agreement.findNewer(attempt),
         version: () => this.#view.version,
         onControl: (link, frame) => {
           this.#control.handle(link, frame);
         },
         onVersion: (link, version) => {
+          this.#view.progress.hear(version);
           this.spread.noteVersion(link, version);
         },
       },
@@ -307,12 +313,21 @@
     const attempts = new AttemptCounter(this.incarnation);
     const picker = makePicker(decisions.picker, random);
     const scene = () => this.#view.scene;
+    const router = new CallRouter({
+      random,
+      foreignEntry: decisions.foreignEntry,
+      region: () => this.#view.region,
+      routes: () => this.#view.routes,
+      scene,
+      progress: this.#view.progress,
+    });
     const dispatcher = new Dispatcher({
       timer,
       log,
       metrics,
       scene,
       attempts,
+      router,
       peers: this.links,
       board: this.#board,
       quarantine: this.#quarantine,
@@ -326,15 +341,12 @@
     return new Entry({
       timer,
       log,
-      random,
       pool: instance.pool,
-      foreignEntry: decisions.foreignEntry,
+      router,
+      version: () => this.#view.version,
       dispatcher,
       owner,
       relay: new KeyRelay({ timer, owner, peers, attempts, scene }),
-      region: () => this.#view.region,
-      routes: () => this.#view.routes,
-      scene,
       objection: () => this.#view.objectionToCall(),
     });
   }
--- /dev/null
+++ b/daemon/rule_agreement.ts
@@ -0,0 +1,58 @@
+import { err, ok, type Result } from 'neverthrow';
+import {
+  Leg,
+  RefusalReason,
+  asSenderCounts,
+  unknown,
+  type DecidedRules,
+  type Refusal,
+  type Route,
+} from '../contract/mod.ts';
+import { CATCH_UP_MS } from '../entry/mod.ts';
+import type { PeerAttempt } from '../link/mod.ts';
+import type { WorldView } from './world_view.ts';
+
+/** Compares the rules that a peer decided by with those in force at this daemon. */
+export class RuleAgreement {
+  readonly #view: WorldView;
+
+  /** @param view The rules in force. */
+  constructor(view: WorldView) {
+    this.#view = view;
+  }
+
+  /**
+   * @param attempt A peer's attempt.
+   * @returns The route to execute it by, or a refusal by the rules in force.
+   */
+  find({ rules, leg }: PeerAttempt): Result<Route, Refusal> {
+    const objection = leg === Leg.Guard ? this.#view.objectionToRules(rules) : undefined;
+    if (objection) return err(objection);
+    const route = this.#view.routes.byName(rules.workspace, rules.route);
+    if (!route) return err(unknownToOwner(rules));
+    return ok(asSenderCounts(route, rules.runsAtMostOnce));
+  }
+
+  /**
+   * Looks a peer's attempt up again, after a wait for the version that it was decided by if that
+   * is newer than the one in force.
+   *
+   * @param attempt The attempt, which the rules in force refuse.
+   * @returns The route to execute it by, or a refusal.
+   */
+  async findNewer(attempt: PeerAttempt): Promise<Result<Route, Refusal>> {
+    const { rules, leg, leftMs } = attempt;
+    const objection = leg === Leg.Guard ? this.#view.objectionToCall() : undefined;
+    if (objection) return err(objection);
+    if (rules.version > this.#view.version) {
+      await this.#view.progress.until(rules.version, Math.min(leftMs, CATCH_UP_MS));
+    }
+    return this.find(attempt);
+  }
+}
+
+/** Says nothing about earlier calls under the same key, which only their owner knows. */
+function unknownToOwner({ workspace, route }: DecidedRules): Refusal {
+  const detail = `route "${workspace}/${route}" is not in the version in force`;
+  return unknown(RefusalReason.VersionsDiffer, detail);
+}
--- a/daemon/version_disagreement_test.ts
+++ b/daemon/version_disagreement_test.ts
@@ -77,6 +77,7 @@
     seen.push(describe(call, await world.until(end), world));
   }
   t.strictSame(seen.filter(blamesCaller), [], 'refusals that blame the caller');
+  t.matchSnapshot(seen, 'ends');
 });
 
 void t.test('a call is not refused as unknown by a guard that lacks a version', async (t) => {
@@ -89,6 +90,7 @@
     seen.push(describe(call, await world.callNow(ENTRY_ID, call), world));
   }
   t.strictSame(seen.filter(blamesCaller), [], 'refusals that blame the caller');
+  t.matchSnapshot(seen, 'ends');
 });
 
 void t.test('a call is not refused as unknown by a guard that has just started', async (t) => {
@@ -100,4 +102,5 @@
     seen.push(describe(call, await world.callNow(ENTRY_ID, call), world));
   }
   t.strictSame(seen.filter(blamesCaller), [], 'refusals that blame the caller');
+  t.matchSnapshot(seen, 'ends');
 });
--- a/daemon/world_view.ts
+++ b/daemon/world_view.ts
@@ -1,16 +1,31 @@
-import { RefusalReason, RouteTable, notRun, type Attempt, type Refusal } from '../contract/mod.ts';
+import {
+  RefusalReason,
+  RouteTable,
+  notRun,
+  runsAtMostOnce,
+  type Attempt,
+  type DecidedRules,
+  type Refusal,
+} from '../contract/mod.ts';
 import type { Scene } from '../entry/mod.ts';
 import { Geography } from '../failure_domain/mod.ts';
 import { Fleet, LifeStage } from '../instance/mod.ts';
-import { DocumentKind, DocumentStore, type Configuration } from '../configuration/mod.ts';
+import {
+  DocumentKind,
+  DocumentStore,
+  VersionProgress,
+  type Configuration,
+} from '../configuration/mod.ts';
 import type { Settings } from '../settings/mod.ts';
 import { AdmissionPhase } from '../guard/mod.ts';
+import type { TimerService } from '../timer/mod.ts';
 
 const NO_ROUTES = new RouteTable([], []);
 const NO_GEOGRAPHY = new Geography([]);
 
 /** Changes of the world that the daemon acts on. */
 export interface WorldViewOptions {
+  timer: TimerService;
   instance: Settings['instance'];
   /** Called when this instance's failure domain was taken out. */
   onDomainOut: () => void;
@@ -23,6 +38,8 @@
 /** The configuration and instance list in force, and what they permit this daemon. */
 export class WorldView {
   readonly store: DocumentStore;
+  /** Versions of the configuration that have come into force here, or that peers have. */
+  readonly progress: VersionProgress;
   /** Where the daemon stands in its life. */
   stage = LifeStage.Starting;
   /** Whether a daemon that leaves still takes calls, so that callers can turn away. */
@@ -36,6 +53,7 @@
   /** @param options See {@linkcode WorldViewOptions}. */
   constructor(options: WorldViewOptions) {
     this.#options = options;
+    this.progress = new VersionProgress(options.timer);
     this.store = new DocumentStore({
       onConfiguration: (configuration) => {
         this.#apply(configuration);
@@ -112,27 +130,59 @@
    * @returns Why this daemon's target may not execute it, if so.
    */
   objectionToAttempt({ call }: Attempt, phase: AdmissionPhase): Refusal | undefined {
-    const { pool } = this.#options.instance;
     // A daemon that leaves finishes what it has accepted, waiting calls too.
     const isHeld = this.isLeaving && phase === AdmissionPhase.Starting;
     const objection = isHeld ? undefined : (this.objectionToCall() ?? this.#objectionToPlace());
     if (objection) return objection;
-    // The route may have been bound to regions since the sender decided.
-    const route = this.routes.byName(call.route.workspace, call.route.name);
-    if (!route?.pools.some((share) => share.pool === pool)) {
-      return notRun(RefusalReason.UnknownRoute, `pool "${pool}" does not serve the route`);
+    const { pool, version, route } = call;
+    return this.objectionToRules({
+      workspace: route.workspace,
+      route: route.name,
+      pool,
+      runsAtMostOnce: runsAtMostOnce(route),
+      version,
+    });
+  }
+
+  /**
+   * @param rules The rules that an attempt was decided by.
+   * @returns Why this daemon's target may not execute it by the rules in force, if so.
+   */
+  objectionToRules(rules: DecidedRules): Refusal | undefined {
+    const { pool, failureDomain } = this.#options.instance;
+    if (!this.isDomainIn) {
+      return notRun(RefusalReason.DomainOut, `failure domain "${failureDomain}" was taken out`);
+    }
+    if (rules.pool !== pool) {
+      return this.differs(`this instance serves pool "${pool}", not "${rules.pool}"`);
+    }
+    const route = this.routes.byName(rules.workspace, rules.route);
+    if (!route) return this.differs(`route "${rules.route}" is not there`);
+    if (!route.pools.some((share) => share.pool === pool)) {
+      return this.differs(`pool "${pool}" does not serve the route`);
     }
     if (!route.homeRegions.permits(this.region)) {
-      return notRun(RefusalReason.OutsideHomeRegions, 'the target is outside the home regions');
+      return this.differs('the target is outside the home regions');
+    }
+    const isStricter = runsAtMostOnce(route) && !rules.runsAtMostOnce;
+    // An older version says nothing against what a newer one permits.
+    if (isStricter && rules.version < this.version) {
+      return this.differs('the route may run once at most');
     }
     return undefined;
   }
 
+  /**
+   * @param detail How the rules in force differ from those that an attempt was decided by.
+   * @returns The refusal of that attempt, with the version in force here.
+   */
+  differs(detail: string): Refusal {
+    const refusal = notRun(RefusalReason.VersionsDiffer, detail);
+    return { ...refusal, version: this.version };
+  }
+
   #objectionToPlace(): Refusal | undefined {
-    const { id, failureDomain } = this.#options.instance;
-    if (!this.isDomainIn) {
-      return notRun(RefusalReason.DomainOut, `failure domain "${failureDomain}" was taken out`);
-    }
+    const { id } = this.#options.instance;
     const listed = this.#fleet.find(id);
     if (listed?.stage === LifeStage.Leaving) {
       return notRun(RefusalReason.Leaving, 'the instance list says that the target is leaving');
@@ -148,5 +198,6 @@
     if (isIn && !this.#wasIn) this.#options.onDomainIn();
     this.#wasIn = isIn;
     this.#options.onChange();
+    this.progress.reach(configuration.version);
   }
 }
--- /dev/null
+++ b/entry/call_router.ts
@@ -0,0 +1,171 @@
+import { err, ok, type Result } from 'neverthrow';
+import {
+  Deadline,
+  RefusalReason,
+  notRun,
+  withNewerRules,
+  type Call,
+  type Refusal,
+  type Route,
+  type RouteQuery,
+  type RouteTable,
+} from '../contract/mod.ts';
+import type { VersionProgress } from '../configuration/mod.ts';
+import type { RandomSource } from '../random/mod.ts';
+import type { Scene } from './dispatcher.ts';
+
+/** Steps in which the shares of a route's pools are drawn. */
+const SHARE_STEPS = 1_000_000;
+/** Addresses that a refusal names at most. */
+const MAX_ADDRESSES = 4;
+/** Longest wait for a version that a peer has in force; some round trips between regions, in milliseconds. */
+export const CATCH_UP_MS = 500;
+
+/** Refusals of calls that another version of the configuration may permit. */
+const ROUTING_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  RefusalReason.UnknownWorkspace,
+  RefusalReason.UnknownRoute,
+  RefusalReason.OutsideHomeRegions,
+]);
+
+/** What an entry outside a call's home regions does with it. */
+export enum ForeignEntry {
+  /** Refuses it and names daemons inside; nothing of the call leaves the entry. */
+  Refuse = 'refuse',
+  /** Sends it into the home regions, since its caller can reach no other entry. */
+  Forward = 'forward',
+}
+
+/** Where a call belongs by one version of the configuration. */
+export interface Routing {
+  route: Route;
+  /** The one of the route's pools that is to run the call. */
+  pool: string;
+  version: number;
+}
+
+/** What a {@linkcode CallRouter} needs. */
+export interface CallRouterOptions {
+  random: RandomSource;
+  foreignEntry: ForeignEntry;
+  /** Region that the daemon stands in. */
+  region: () => string | undefined;
+  routes: () => RouteTable;
+  scene: () => Scene;
+  progress: VersionProgress;
+}
+
+/** Tells where calls belong by the rules in force, and again when newer rules come into force. */
+export class CallRouter {
+  readonly #options: CallRouterOptions;
+
+  /** @param options See {@linkcode CallRouterOptions}. */
+  constructor(options: CallRouterOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param query What a call says about where it belongs.
+   * @returns Where it belongs by the rules in force, or a refusal.
+   */
+  find(query: RouteQuery): Result<Routing, Refusal> {
+    return this.#options
+      .routes()
+      .find(query)
+      .andThen((route) => this.#checkHome(route))
+      .map((route) => ({ route, pool: this.#choosePool(route), version: this.#version }));
+  }
+
+  /**
+   * Waits for a version that peers have, if it may know what the one in force refuses.
+   *
+   * @param reason Why a call was refused by the rules in force.
+   * @param leftMs Milliseconds that its caller waits, at most.
+   * @returns Whether a newer version has come into force.
+   */
+  async catchUp(reason: RefusalReason, leftMs: number): Promise<boolean> {
+    const { progress } = this.#options;
+    const { heard } = progress;
+    if (!ROUTING_REFUSALS.has(reason) || heard <= this.#version) return false;
+    return progress.until(heard, Math.min(leftMs, CATCH_UP_MS));
+  }
+
+  /**
+   * Brings a call under way to the rules in force.
+   *
+   * @param call The call, as it was decided last.
+   * @returns The same call if no newer rules are in force, the call under the newer ones, or a
+   * refusal if they do not permit it.
+   */
+  renew(call: Call): Result<Call, Refusal> {
+    if (call.version >= this.#version) return ok(call);
+    const { route, method, target } = call;
+    const { workspace } = route;
+    const query = { workspace, host: '', method, path: pathOf(target) };
+    return this.find(query).map((routing) => ({
+      ...call,
+      version: routing.version,
+      route: withNewerRules(route, routing.route),
+      pool: serves(routing.route, call.pool) ? call.pool : routing.pool,
+    }));
+  }
+
+  /**
+   * Waits until a version is in force here that a guard has refused by.
+   *
+   * @param version The version.
+   * @param deadline The call's deadline.
+   */
+  async untilVersion(version: number, deadline: Deadline): Promise<void> {
+    await this.#options.progress.until(version, Math.min(deadline.leftMs, CATCH_UP_MS));
+  }
+
+  /**
+   * @param route A route.
+   * @returns Addresses of daemons in its home regions.
+   */
+  addressesFor(route: Route): string[] {
+    const { fleet, geography } = this.#options.scene();
+    return fleet.instances
+      .filter(({ failureDomain }) => geography.isIn(failureDomain))
+      .filter(({ failureDomain }) => route.homeRegions.permits(geography.regionOf(failureDomain)))
+      .map(({ callerAddress }) => callerAddress)
+      .slice(0, MAX_ADDRESSES);
+  }
+
+  get #version(): number {
+    return this.#options.scene().configurationVersion;
+  }
+
+  #checkHome(route: Route): Result<Route, Refusal> {
+    if (this.#options.foreignEntry === ForeignEntry.Forward) return ok(route);
+    const region = this.#options.region();
+    if (route.homeRegions.permits(region)) return ok(route);
+    const addresses = this.addressesFor(route);
+    const detail = `route "${route.name}" is bound to ${route.homeRegions.toString()}, got region ${region ?? 'unknown'}`;
+    return err({ ...notRun(RefusalReason.OutsideHomeRegions, detail), addresses });
+  }
+
+  #choosePool({ pools }: Route): string {
+    if (pools.length <= 1) return pools[0]?.pool ?? '';
+    const total = pools.reduce((sum, { weight }) => sum + weight, 0);
+    let left = (this.#options.random.below(SHARE_STEPS) / SHARE_STEPS) * total;
+    for (const { pool, weight } of pools) {
+      left -= weight;
+      if (left < 0) return pool;
+    }
+    return pools[0]?.pool ?? '';
+  }
+}
+
+/**
+ * @param target Path and query of a call.
+ * @returns The path.
+ */
+export function pathOf(target: string): string {
+  return target.split('?', 1)[0] ?? '';
+}
+
+function serves({ pools }: Route, pool: string): boolean {
+  return pools.some((share) => share.pool === pool && share.weight > 0);
+}
--- a/entry/course.ts
+++ b/entry/course.ts
@@ -25,9 +25,11 @@
 export class Course {
   /** Names of instances that were tried. */
   readonly excluded = new Set<string>();
-  readonly #call: Call;
-  readonly #budget: RetryBudget;
-  readonly #slow: string[] = [];
+  #call: Call;
+  #budget: RetryBudget;
+  #slow: string[] = [];
+  /** Instances whose guards differ from the version that the call was decided by. */
+  #differing: string[] = [];
   #reached = 0;
   #refused = 0;
   #insists = false;
@@ -44,6 +46,11 @@
     this.#budget = budget;
   }
 
+  /** @returns The call, under the newest rules that it was brought to. */
+  get call(): Call {
+    return this.#call;
+  }
+
   /** @returns Whether the next target runs the call however slow it is. */
   get insists(): boolean {
     return this.#insists;
@@ -77,6 +84,27 @@
     return this.#reached < this.#call.route.maxAttempts && this.#budget.tryTake();
   }
 
+  /**
+   * Goes on under newer rules, with targets that refused by them before.
+   *
+   * @param call The call under the newer rules.
+   * @param budget Bounds the further attempts of all calls to its pool.
+   * @returns Whether they permit that it goes on; one that may have run must be repeatable still.
+   */
+  renew(call: Call, budget: RetryBudget): boolean {
+    if (this.#mayHaveRun && runsAtMostOnce(call.route)) return false;
+    if (call.pool !== this.#call.pool) {
+      this.#slow = [];
+      this.#insists = false;
+    }
+    this.#call = call;
+    this.#budget = budget;
+    this.#refused = 0;
+    for (const id of this.#differing) this.excluded.delete(id);
+    this.#differing = [];
+    return true;
+  }
+
   /**
    * Goes back to the targets that were too slow; one of them is to run the call.
    *
@@ -106,6 +134,7 @@
     this.#last = failure.refusal;
     if (hasReachedTarget(failure)) this.#reached += 1;
     else this.#refused += 1;
+    if (failure.refusal.reason === RefusalReason.VersionsDiffer) this.#differing.push(instance.id);
     if (failure.refusal.reason !== RefusalReason.TargetSlow) return;
     this.#slow.push(instance.id);
     if (this.#slow.length >= MAX_SLOW_TARGETS) this.insistOnSlow();
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -8,6 +8,7 @@
   isNotRun,
   notRun,
   runsAtMostOnce,
+  unknown,
   type Answer,
   type Attempt,
   type AttemptFailure,
@@ -31,6 +32,7 @@
 import type { Quarantine } from '../guard/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 import type { AttemptCounter } from './attempt_counter.ts';
+import type { CallRouter } from './call_router.ts';
 import { Course } from './course.ts';
 import { raceHedged } from './hedge.ts';
 import { PoolBudgets } from './pool_budgets.ts';
@@ -75,6 +77,7 @@
   board: TargetBoard;
   quarantine: Quarantine;
   attempts: AttemptCounter;
+  router: CallRouter;
   /** @returns The world now. */
   scene: () => Scene;
   /**
@@ -124,24 +127,48 @@
    * @returns Its answer, or a refusal that says whether it may have run.
    */
   async dispatch(call: Call, fingerprint: string | undefined): Promise<Result<Answer, Refusal>> {
-    const budget = this.#budgets.of(call.pool);
-    budget.recordCall();
-    const course = new Course(call, budget);
+    const course = new Course(call, this.#budgetOf(call));
     for (;;) {
-      const decided = this.#decide(call, fingerprint, course.excluded);
+      const renewed = this.#renew(course);
+      if (renewed.isErr()) return course.conclude(renewed.error);
+      const decided = this.#decide(course.call, fingerprint, course.excluded);
       if (decided.isErr()) {
         if (course.insistOnSlow()) continue;
         return course.conclude(decided.error);
       }
-      const result = await this.#tryOnce(call, decided.value, { fingerprint, course });
+      const result = await this.#tryOnce(course.call, decided.value, { fingerprint, course });
       if (result.isOk()) {
         if (course.accept(result.value)) return ok(result.value);
       } else if (!course.mayFollow(result.error, decided.value.instance)) {
         return course.conclude(result.error.refusal);
+      } else {
+        await this.#catchUp(course.call, result.error.refusal);
       }
     }
   }
 
+  #budgetOf({ pool }: Call): RetryBudget {
+    const budget = this.#budgets.of(pool);
+    budget.recordCall();
+    return budget;
+  }
+
+  /** Newer rules may have come into force here since the last attempt. */
+  #renew(course: Course): Result<void, Refusal> {
+    const { call } = course;
+    return this.#options.router.renew(call).andThen((renewed) => {
+      if (renewed === call || course.renew(renewed, this.#budgetOf(renewed))) return ok(undefined);
+      const detail = 'the call may have run, and a newer version forbids to repeat it';
+      return err(unknown(RefusalReason.VersionsDiffer, detail));
+    });
+  }
+
+  /** A guard that refuses by a newer version leads to no target until that version is known here. */
+  async #catchUp(call: Call, { reason, version = 0 }: Refusal): Promise<void> {
+    if (reason !== RefusalReason.VersionsDiffer || version <= call.version) return;
+    await this.#options.router.untilVersion(version, call.deadline);
+  }
+
   #tryOnce(
     call: Call,
     decision: Decision,
@@ -179,13 +206,13 @@
   }
 
   #choose(call: Call, excluded: ReadonlySet<string>): Result<Decision, Refusal> {
-    const { fleet, geography, configurationVersion } = this.#options.scene();
+    const { fleet, geography } = this.#options.scene();
     const chosen = this.#options.placement.choose(call.route, call.pool, {
       fleet,
       geography,
       excluded,
     });
-    if (chosen.isOk()) this.#logDecision(call, chosen.value, configurationVersion);
+    if (chosen.isOk()) this.#logDecision(call, chosen.value);
     return chosen;
   }
 
@@ -229,8 +256,7 @@
 
   #makeAttempt(call: Call, sent: Pick<Attempt, 'fingerprint' | 'insists'>): Attempt {
     const { sender, sequence } = this.#options.attempts.next();
-    const { configurationVersion } = this.#options.scene();
-    return { sender, sequence, leg: Leg.Guard, call, configurationVersion, ...sent };
+    return { sender, sequence, leg: Leg.Guard, call, ...sent };
   }
 
   async #send({ decision, attempt, port }: Try): Promise<AttemptResult> {
@@ -275,23 +301,23 @@
       reason: refusal.reason,
       detail: refusal.detail,
       version: refusal.version,
-      decidedAt: attempt.configurationVersion,
+      decidedAt: call.version,
     });
-    this.#countDisagreement(attempt, refusal);
+    this.#countDisagreement(call, refusal);
     const isCrash =
       kind !== FailureKind.Refused && !call.signal.aborted && !call.deadline.hasPassed;
     if (!isCrash || attempt.fingerprint === undefined) return;
     this.#options.onCrash(call, attempt.fingerprint, instance);
   }
 
-  #countDisagreement({ configurationVersion }: Attempt, { reason, version }: Refusal): void {
-    if (reason !== RefusalReason.UnknownRoute || version === undefined) return;
+  #countDisagreement(call: Call, { reason, version }: Refusal): void {
+    if (reason !== RefusalReason.VersionsDiffer || version === undefined) return;
     this.#options.metrics.increment(Metric.VersionDisagreements, {
-      entry: orderOf(configurationVersion, version),
+      entry: orderOf(call.version, version),
     });
   }
 
-  #logDecision(call: Call, decision: Decision, version: number): void {
+  #logDecision(call: Call, decision: Decision): void {
     const { route } = call;
     const { view, proximity } = decision.candidate;
     this.#options.log.write(Event.Decision, {
@@ -307,7 +333,7 @@
       eligible: decision.eligible,
       loadAgeMs: view.loadAgeMs,
       leftMs: round(call.deadline.leftMs),
-      version,
+      version: call.version,
     });
   }
 }
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -20,13 +20,12 @@
   type Headers,
   type Refusal,
   type Route,
-  type RouteTable,
 } from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
 import type { KeyOwner } from '../idempotency/mod.ts';
-import type { RandomSource } from '../random/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
-import type { Dispatcher, Scene } from './dispatcher.ts';
+import { CATCH_UP_MS, pathOf, type CallRouter, type Routing } from './call_router.ts';
+import type { Dispatcher } from './dispatcher.ts';
 import type { KeyRelay } from './key_relay.ts';
 import { withRetryAdvice } from './retry_advice.ts';
 
@@ -34,12 +33,8 @@
 const MAX_DEPTH = 32;
 /** Bodies up to this size are read into memory before the first attempt, in bytes. */
 const SMALL_BODY_BYTES = 65_536;
-/** Steps in which the shares of a route's pools are drawn. */
-const SHARE_STEPS = 1_000_000;
 /** Longest part of a refusal's detail in a log line, which may hold a caller's path. */
 const MAX_DETAIL_CHARACTERS = 200;
-/** Addresses that a refusal names at most. */
-const MAX_ADDRESSES = 4;
 
 /** A call as it arrives, before anything is known about it. */
 export interface CallerRequest {
@@ -72,14 +67,6 @@
   nextKey: string | undefined;
 }
 
-/** What an entry outside a call's home regions does with it. */
-export enum ForeignEntry {
-  /** Refuses it and names daemons inside; nothing of the call leaves the entry. */
-  Refuse = 'refuse',
-  /** Sends it into the home regions, since its caller can reach no other entry. */
-  Forward = 'forward',
-}
-
 /** What an {@linkcode Entry} needs. */
 export interface EntryOptions {
   timer: TimerService;
@@ -89,12 +76,9 @@
   relay: KeyRelay;
   /** Pool of the daemon's own instance. */
   pool: string;
-  random: RandomSource;
-  foreignEntry: ForeignEntry;
-  /** Region that the daemon stands in. */
-  region: () => string | undefined;
-  routes: () => RouteTable;
-  scene: () => Scene;
+  router: CallRouter;
+  /** @returns Version of the configuration in force. */
+  version: () => number;
   /** @returns Why the daemon accepts no calls now, if so. */
   objection: () => Refusal | undefined;
 }
@@ -124,7 +108,10 @@
     this.#open += 1;
     const callId = req.callId ?? randomUUID();
     const startMs = this.#options.timer.now();
-    const admitted = this.#admit(req, callId);
+    let admitted = this.#admit(req, callId, startMs);
+    if (admitted.isErr() && (await this.#catchUp(req, admitted.error))) {
+      admitted = this.#admit(req, callId, startMs);
+    }
     const result = admitted.isErr()
       ? err<Answer, Refusal>(withoutProof(admitted.error, req.key))
       : await this.#execute(admitted.value, req);
@@ -145,68 +132,50 @@
     return this.#options.owner.run(call, (owned) => this.#dispatchOwned(owned));
   }
 
-  #admit(req: CallerRequest, id: string): Result<Call, Refusal> {
+  #admit(req: CallerRequest, id: string, startMs: number): Result<Call, Refusal> {
     const objection = this.#options.objection();
     if (objection) return err(objection);
-    const path = req.target.split('?', 1)[0] ?? '';
     const { workspace, host, method } = req;
-    return this.#options
-      .routes()
-      .find({ workspace, host, method, path })
-      .andThen((route) => this.#checkHome(route))
-      .andThen((route) => checkSize(route, req))
-      .andThen((route) => this.#makeCall(route, req, id));
-  }
-
-  #makeCall(route: Route, req: CallerRequest, id: string): Result<Call, Refusal> {
-    const { method, target, headers, body, key, signal, giveUp } = req;
-    return parseDeadlineMs(req.deadline, route.timeoutMs).andThen((leftMs) =>
-      parseDepth(req.depth).map((depth) => ({
-        id,
-        route,
-        pool: this.#choosePool(route),
-        callerPool: this.#options.pool,
-        method,
-        target,
-        headers,
-        body,
-        deadline: new Deadline(this.#options.timer, leftMs),
-        objective: new Deadline(this.#options.timer, Math.min(leftMs, route.objectiveMs)),
-        depth,
-        key,
-        signal,
-        giveUp,
-      })),
-    );
-  }
-
-  #choosePool({ pools }: Route): string {
-    if (pools.length <= 1) return pools[0]?.pool ?? '';
-    const total = pools.reduce((sum, { weight }) => sum + weight, 0);
-    let left = (this.#options.random.below(SHARE_STEPS) / SHARE_STEPS) * total;
-    for (const { pool, weight } of pools) {
-      left -= weight;
-      if (left < 0) return pool;
-    }
-    return pools[0]?.pool ?? '';
+    return this.#options.router
+      .find({ workspace, host, method, path: pathOf(req.target) })
+      .andThen((routing) => checkSize(routing, req))
+      .andThen((routing) => this.#makeCall(routing, req, { id, startMs }));
   }
 
-  #checkHome(route: Route): Result<Route, Refusal> {
-    if (this.#options.foreignEntry === ForeignEntry.Forward) return ok(route);
-    const region = this.#options.region();
-    if (route.homeRegions.permits(region)) return ok(route);
-    const addresses = this.#addressesFor(route);
-    const detail = `route "${route.name}" is bound to ${route.homeRegions.toString()}, got region ${region ?? 'unknown'}`;
-    return err({ ...notRun(RefusalReason.OutsideHomeRegions, detail), addresses });
+  #catchUp(req: CallerRequest, { reason }: Refusal): Promise<boolean> {
+    const leftMs = parseDeadlineMs(req.deadline, CATCH_UP_MS).unwrapOr(0);
+    return this.#options.router.catchUp(reason, leftMs);
   }
 
-  #addressesFor(route: Route): string[] {
-    const { fleet, geography } = this.#options.scene();
-    return fleet.instances
-      .filter(({ failureDomain }) => geography.isIn(failureDomain))
-      .filter(({ failureDomain }) => route.homeRegions.permits(geography.regionOf(failureDomain)))
-      .map(({ callerAddress }) => callerAddress)
-      .slice(0, MAX_ADDRESSES);
+  #makeCall(
+    { route, pool, version }: Routing,
+    req: CallerRequest,
+    { id, startMs }: { id: string; startMs: number },
+  ): Result<Call, Refusal> {
+    const { method, target, headers, body, key, signal, giveUp } = req;
+    const { timer } = this.#options;
+    return parseDeadlineMs(req.deadline, route.timeoutMs).andThen((givenMs) =>
+      parseDepth(req.depth).map((depth) => {
+        const leftMs = givenMs - (timer.now() - startMs);
+        return {
+          id,
+          route,
+          pool,
+          version,
+          callerPool: this.#options.pool,
+          method,
+          target,
+          headers,
+          body,
+          deadline: new Deadline(timer, leftMs),
+          objective: new Deadline(timer, Math.min(leftMs, route.objectiveMs)),
+          depth,
+          key,
+          signal,
+          giveUp,
+        };
+      }),
+    );
   }
 
   async #execute(call: Call, req: CallerRequest): Promise<Result<Answer, Refusal>> {
@@ -248,7 +217,7 @@
     const nextKey = this.#options.owner.issue(route);
     if (nextKey === undefined) {
       const detail = 'this daemon takes on no further keys, use another one';
-      const addresses = this.#addressesFor(route);
+      const addresses = this.#options.router.addressesFor(route);
       return { ...notRun(RefusalReason.DomainOut, detail), addresses };
     }
     const detail = `route "${route.name}" is not idempotent, got no Idempotency-Key`;
@@ -281,12 +250,11 @@
   }
 
   #logNotAdmitted(call: string, { reason, detail }: Refusal): void {
-    const { configurationVersion: version } = this.#options.scene();
     this.#options.log.write(Event.CallNotAdmitted, {
       call,
       reason,
       detail: detail.slice(0, MAX_DETAIL_CHARACTERS),
-      version,
+      version: this.#options.version(),
     });
   }
 
@@ -304,9 +272,10 @@
   return key === undefined ? refusal : { ...refusal, outcome: Outcome.Unknown };
 }
 
-function checkSize(route: Route, req: CallerRequest): Result<Route, Refusal> {
+function checkSize(routing: Routing, req: CallerRequest): Result<Routing, Refusal> {
+  const { route } = routing;
   const size = req.announcedBytes;
-  if (size === undefined || size <= route.bodyLimitBytes) return ok(route);
+  if (size === undefined || size <= route.bodyLimitBytes) return ok(routing);
   const detail = `expected a body of at most ${route.bodyLimitBytes} bytes, got ${size}`;
   return err(notRun(RefusalReason.BodyTooLarge, detail));
 }
--- a/entry/key_relay.ts
+++ b/entry/key_relay.ts
@@ -92,7 +92,6 @@
 
   #send(call: Call, port: PeerPort): Promise<AttemptResult> {
     const { sender, sequence } = this.#options.attempts.next();
-    const { configurationVersion } = this.#options.scene();
     const leg = Leg.Owner;
     const attempt = {
       sender,
@@ -100,7 +99,6 @@
       leg,
       call,
       fingerprint: undefined,
-      configurationVersion,
       insists: true,
     };
     return withTimeout(port.send(attempt), this.#options.timer, call.deadline.leftMs + GRACE_MS);
--- a/entry/mod.ts
+++ b/entry/mod.ts
@@ -11,6 +11,7 @@
  * @module
  */
 export * from './attempt_counter.ts';
+export * from './call_router.ts';
 export * from './dispatcher.ts';
 export * from './entry.ts';
 export * from './hedge.ts';
--- a/entry/retry_advice.ts
+++ b/entry/retry_advice.ts
@@ -4,6 +4,8 @@
 const RETRY_AFTER_MS: Partial<Record<RefusalReason, number>> = {
   // A daemon learns the versions in force in a few round trips to the platform.
   [RefusalReason.NotReady]: 200,
+  // A version comes into force everywhere in a few round trips.
+  [RefusalReason.VersionsDiffer]: 200,
   // Some calls end at the targets meanwhile.
   [RefusalReason.TargetBusy]: 100,
   [RefusalReason.NoTarget]: 100,
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -152,9 +152,9 @@
   }
 
   async send(attempt: Attempt): Promise<AttemptResult> {
+    if (runsAtMostOnce(attempt.call.route)) return this.#runOnce(attempt);
     const objection = this.#objectionTo(attempt, AdmissionPhase.Arriving);
-    if (objection) return this.#refuse(attempt, objection);
-    return runsAtMostOnce(attempt.call.route) ? this.#runOnce(attempt) : this.#admit(attempt);
+    return objection ? this.#refuse(attempt, objection) : this.#admit(attempt);
   }
 
   settle(id: AttemptId, deadline: Deadline): Promise<AttemptResult> {
@@ -212,7 +212,11 @@
     const id = { sender: attempt.sender, sequence: attempt.sequence };
     const accepted = this.#ledger.accept(id);
     if (accepted.isErr()) return err({ ...accepted.error, load: this.load });
-    const result = await this.#keepWhole(await this.#admit(attempt, id));
+    // A refused attempt is in the ledger too, so that a late copy of it never runs.
+    const objection = this.#objectionTo(attempt, AdmissionPhase.Arriving);
+    const result = objection
+      ? this.#refuse(attempt, objection)
+      : await this.#keepWhole(await this.#admit(attempt, id));
     this.#ledger.end(id, result);
     return result;
   }
@@ -384,14 +388,14 @@
     return { status, headers, body, load: this.load };
   }
 
-  #refuse({ sequence, call, configurationVersion }: Attempt, refusal: Refusal): AttemptResult {
+  #refuse({ sequence, call }: Attempt, refusal: Refusal): AttemptResult {
     const { inFlight, limit, queued, stage } = this.load;
     this.#options.log.write(Event.AttemptRefused, {
       call: call.id,
       attempt: sequence,
       reason: refusal.reason,
       version: this.#options.version(),
-      decidedAt: configurationVersion,
+      decidedAt: call.version,
       inFlight,
       limit,
       queued,
--- a/link/call_frames.ts
+++ b/link/call_frames.ts
@@ -3,6 +3,7 @@
   EMPTY_BODY,
   FailureKind,
   WholeBody,
+  runsAtMostOnce,
   type Answer,
   type Attempt,
   type AttemptFailure,
@@ -30,6 +31,7 @@
     workspace: call.route.workspace,
     route: call.route.name,
     pool: call.pool,
+    runsAtMostOnce: runsAtMostOnce(call.route),
     callerPool: call.callerPool,
     method: call.method,
     target: call.target,
@@ -40,7 +42,7 @@
     depth: call.depth,
     key: call.key ?? null,
     fingerprint: attempt.fingerprint ?? null,
-    version: attempt.configurationVersion,
+    version: call.version,
     body: call.body instanceof WholeBody ? call.body.bytes : null,
   };
 }
@@ -49,6 +51,8 @@
 export interface FromCallFrameOptions {
   timer: TimerService;
   route: Route;
+  /** Milliseconds that the attempt has waited since its frame arrived. */
+  waitedMs: number;
   /** The body, if it arrives in further frames. */
   incoming: Body | undefined;
   /** Aborted when the sender gives up. */
@@ -66,20 +70,21 @@
 export function fromCallFrame(
   frame: CallFrame,
   sender: string,
-  { timer, route, incoming, signal, giveUp }: FromCallFrameOptions,
+  { timer, route, waitedMs, incoming, signal, giveUp }: FromCallFrameOptions,
 ): Attempt {
   const inline = frame.body ? new WholeBody(frame.body) : EMPTY_BODY;
   const call: Call = {
     id: frame.callId,
     route,
     pool: frame.pool,
+    version: frame.version,
     callerPool: frame.callerPool,
     method: frame.method,
     target: frame.target,
     headers: pairHeaders(frame.headers),
     body: incoming ?? inline,
-    deadline: new Deadline(timer, frame.leftMs),
-    objective: new Deadline(timer, frame.objectiveLeftMs),
+    deadline: new Deadline(timer, frame.leftMs - waitedMs),
+    objective: new Deadline(timer, frame.objectiveLeftMs - waitedMs),
     depth: frame.depth,
     key: frame.key ?? undefined,
     signal,
@@ -91,7 +96,6 @@
     leg: frame.leg,
     call,
     fingerprint: frame.fingerprint ?? undefined,
-    configurationVersion: frame.version,
     insists: frame.insists,
   };
 }
--- a/link/frame.ts
+++ b/link/frame.ts
@@ -1,6 +1,6 @@
 import type { DocumentKind } from '../configuration/mod.ts';
 import type { Handover } from '../idempotency/mod.ts';
-import type { Leg, LoadState, Outcome, RefusalReason, FailureKind } from '../contract/mod.ts';
+import type { FailureKind, Leg, LoadState, Outcome, RefusalReason } from '../contract/mod.ts';
 
 /** The messages between daemons. The numbers are part of the protocol. */
 export enum FrameKind {
@@ -40,7 +40,7 @@
 }
 
 /** Version of the protocol; daemons of another one are refused. */
-export const PROTOCOL_VERSION = 3;
+export const PROTOCOL_VERSION = 4;
 
 export interface HelloFrame {
   kind: FrameKind.Hello;
@@ -60,6 +60,8 @@
   workspace: string;
   route: string;
   pool: string;
+  /** Whether the sender counts on the call running once at most; the receiver's version may differ. */
+  runsAtMostOnce: boolean;
   callerPool: string;
   method: string;
   target: string;
--- a/link/frame_layout.ts
+++ b/link/frame_layout.ts
@@ -86,6 +86,7 @@
     ['workspace', isText],
     ['route', isText],
     ['pool', isText],
+    ['runsAtMostOnce', isFlag],
     ['callerPool', isText],
     ['method', isText],
     ['target', isText],
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -5,6 +5,7 @@
   Leg,
   RefusalReason,
   WholeBody,
+  isNotRun,
   notRun,
   runsAtMostOnce,
   unknown,
@@ -16,6 +17,7 @@
   type AttemptResult,
   type Body,
   type Call,
+  type DecidedRules,
   type Refusal,
   type Route,
 } from '../contract/mod.ts';
@@ -49,6 +51,14 @@
 /** Silence after which a link counts as broken, in milliseconds. */
 const SILENCE_LIMIT_MS = 15_000;
 
+/** What a peer's attempt was decided by. */
+export interface PeerAttempt {
+  rules: DecidedRules;
+  leg: Leg;
+  /** Milliseconds until the call's deadline. */
+  leftMs: number;
+}
+
 /** What a daemon does for its peers. */
 export interface LinkServices {
   timer: TimerService;
@@ -57,8 +67,18 @@
   guard: AttemptPort;
   /** Runs a call under a key that this daemon owns. */
   runOwned: (call: Call) => Promise<Result<Answer, Refusal>>;
-  /** Finds a route of the configuration in force. */
-  route: (workspace: string, name: string) => Route | undefined;
+  /**
+   * @param attempt What a peer's attempt was decided by.
+   * @returns The route to execute it by, or why this daemon does not by the rules in force.
+   */
+  findRoute: (attempt: PeerAttempt) => Result<Route, Refusal>;
+  /**
+   * Waits for the version that a peer's attempt was decided by, if that is newer than the one in force.
+   *
+   * @param attempt What the attempt was decided by.
+   * @returns As above, by the rules in force afterwards.
+   */
+  findNewerRoute: (attempt: PeerAttempt) => Promise<Result<Route, Refusal>>;
   /** @returns Version of the configuration in force. */
   version: () => number;
   /** Takes a frame that concerns no attempt. */
@@ -315,25 +335,41 @@
   async #serveCall(frame: CallFrame): Promise<void> {
     const exchange = new Exchange(frame.stream);
     this.#received.set(frame.stream, exchange);
-    const route = this.#services.route(frame.workspace, frame.route);
-    if (!route) {
-      const refusal = unknownRoute(frame);
-      this.#logRefused(frame, refusal);
-      this.#sendEnd(exchange, err(failureOf(refusal)));
-      return;
-    }
     const incoming = frame.body ? undefined : this.#receiveBody(exchange);
     const { timer } = this.#services;
     const { signal } = exchange;
     const giveUp = () => {
       exchange.giveUp();
     };
-    const options = { timer, route, incoming, signal, giveUp };
+    const arrivedMs = timer.now();
+    const { leg, leftMs } = frame;
+    const asked: PeerAttempt = { rules: rulesOf(frame), leg, leftMs };
+    let found = this.#services.findRoute(asked);
+    if (found.isErr()) found = await this.#services.findNewerRoute(asked);
+    if (found.isErr()) {
+      this.#logRefused(frame, found.error);
+      this.#sendEnd(exchange, await this.#refuseForGood(frame, found.error));
+      incoming?.end('the attempt was refused');
+      return;
+    }
+    const waitedMs = timer.now() - arrivedMs;
+    const options = { timer, route: found.value, waitedMs, incoming, signal, giveUp };
     const attempt = fromCallFrame(frame, this.peer.incarnation, options);
     await this.#sendResult(exchange, await executeAttempt(attempt, this.#services));
     incoming?.end('the attempt has ended');
   }
 
+  /** A copy of an attempt that runs at most once may be running, or may arrive later. */
+  async #refuseForGood(frame: CallFrame, refusal: Refusal): Promise<AttemptResult> {
+    const refused = err(failureOf(refusal));
+    if (frame.leg !== Leg.Guard || !frame.runsAtMostOnce) return refused;
+    const id: AttemptId = { sender: this.peer.incarnation, sequence: frame.sequence };
+    const deadline = new Deadline(this.#services.timer, 0);
+    const settled = await this.#services.guard.settle(id, deadline);
+    const isFenced = settled.isErr() && isNotRun(settled.error.kind);
+    return isFenced ? refused : settled;
+  }
+
   #logRefused({ callId, sequence, version }: CallFrame, { reason }: Refusal): void {
     this.#services.log.write(Event.AttemptRefused, {
       call: callId,
@@ -400,11 +436,8 @@
   }
 }
 
-/** Says nothing about earlier calls under the same key, which only their owner knows. */
-function unknownRoute({ leg, workspace, route }: CallFrame): Refusal {
-  const detail = `route "${workspace}/${route}" is unknown here`;
-  const refuse = leg === Leg.Owner ? unknown : notRun;
-  return refuse(RefusalReason.UnknownRoute, detail);
+function rulesOf({ workspace, route, pool, runsAtMostOnce, version }: CallFrame): DecidedRules {
+  return { workspace, route, pool, runsAtMostOnce, version };
 }
 
 function neverSent(): AttemptFailure {
--- a/link/problem.ts
+++ b/link/problem.ts
@@ -5,6 +5,7 @@
 const STATUS: Readonly<Record<RefusalReason, number>> = {
   [RefusalReason.UnknownWorkspace]: 404,
   [RefusalReason.UnknownRoute]: 404,
+  [RefusalReason.VersionsDiffer]: 503,
   [RefusalReason.MalformedDeadline]: 400,
   [RefusalReason.DeadlinePassed]: 504,
   [RefusalReason.TooDeep]: 400,
--- a/scale/link_cost.ts
+++ b/scale/link_cost.ts
@@ -108,7 +108,10 @@
       log: new MemoryLog(1),
       guard,
       runOwned: () => Promise.reject(new Error('expected no call')),
-      route: () => undefined,
+      findRoute: () => {
+        throw new Error('expected no attempt');
+      },
+      findNewerRoute: () => Promise.reject(new Error('expected no attempt')),
       version: () => 0,
       onControl: () => undefined,
       onVersion: () => undefined,
--- /dev/null
+++ b/tap-snapshots/dist/configuration/version_progress_test.js.test.cjs
@@ -0,0 +1,16 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`dist/configuration/version_progress_test.js > TAP > VersionProgress.until() ends with the version or with the time > ends 1`] = `
+Array [
+  "version 1 after 0 ms: reached",
+  "version 5 after 0 ms: missed",
+  "version 3 after 20 ms: reached",
+  "version 4 after 100 ms: missed",
+  "heard 9",
+]
+`
--- /dev/null
+++ b/tap-snapshots/dist/entry/course_test.js.test.cjs
@@ -0,0 +1,19 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`dist/entry/course_test.js > TAP > a call that may have run is not repeated once a version forbids it > courses 1`] = `
+Array [
+  "idempotent to idempotent after refused: goes on true as idempotent, excluded \\"\\"",
+  "idempotent to keyless after refused: goes on true as keyless, excluded \\"\\"",
+  "idempotent to non-idempotent after refused: goes on true as keyless, excluded \\"\\"",
+  "keyless to idempotent after refused: goes on true as keyless, excluded \\"\\"",
+  "idempotent to idempotent after unknown: goes on true as idempotent, excluded \\"boards-1\\"",
+  "idempotent to keyless after unknown: goes on false as keyless, excluded \\"boards-1\\"",
+  "idempotent to non-idempotent after unknown: goes on false as keyless, excluded \\"boards-1\\"",
+  "keyless to idempotent after unknown: goes on false as keyless, excluded \\"boards-1\\"",
+]
+`
