Close a connection whose target sends bytes that are no answer

What was missing: a target that sent a reason phrase, spaces before the value of a header, line breaks, interim answers (1xx) or chunk extensions without end was read at full speed until the call's deadline, a probe for its whole second (then it even counted as healthy, where the head had come). Line breaks after a whole answer were read as long as the connection stood, and the connection went back into the pool: the next call was sent on it and got no answer either.

Cause: the HTTP client counts the names and values of headers only; its parser skips the rest without telling. headersTimeout and bodyTimeout bound silence, not bytes, and maxResponseSize counts content only.

Now each connection compares what it has read with the content that its call got, and is closed beyond 128 KiB and 16 bytes for each byte of content; one without a call is closed at its first byte.

The library made an error for each header line beyond its own limit, of which the first read holds thousands; the meter now acts before it, and the limit of a head stays at 16 KiB.

Ruled out: endless header names, values and lines, letters that are no HTTP, trailers, chunks, a body without a length, abandoned and garbled answers were ended by the library already, and back pressure stops the reading when nobody takes the content; their lines stay as guards.

--- a/link/mod.ts
+++ b/link/mod.ts
@@ -27,6 +27,7 @@
 export * from './http_dialect.ts';
 export * from './link_table.ts';
 export * from './listen.ts';
+export * from './metered_client.ts';
 export * from './operator_server.ts';
 export * from './own_dialect.ts';
 export * from './peer_link.ts';
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 import { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
-import { Pool, buildConnector, type Dispatcher } from 'undici';
+import { buildConnector, type Dispatcher } from 'undici';
 import {
   WholeBody,
   abandonBody,
@@ -20,6 +20,7 @@
 import { readBody } from './caller_server.ts';
 import { endToEnd } from './headers.ts';
 import type { HeaderReader, HttpDialect } from './http_dialect.ts';
+import { MeteredPool } from './metered_client.ts';
 import { OwnDialect } from './own_dialect.ts';
 
 /** Answers up to this size are read into memory before they are passed on, in bytes. */
@@ -44,7 +45,7 @@
 
 /** Calls the target beside this daemon over HTTP, on connections that are kept open. */
 export class TargetClient implements TargetPort {
-  readonly #pool: Pool;
+  readonly #pool: MeteredPool;
   readonly #healthPath: string;
   readonly #dialect: HttpDialect;
   /** Connections that were reset so far. */
@@ -56,7 +57,7 @@
    */
   constructor(url: string, options: TargetClientOptions) {
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS, allowHalfOpen: true });
-    this.#pool = new Pool(url, {
+    this.#pool = new MeteredPool(url, {
       connections: options.connections,
       connect: (target, callback) => {
         connect(target, (...connected) => {
