Bound what is read of an answer of the store

What was missing: an answer of the store without end was collected in memory until the read's timeout; with 350 MB a daemon would have been killed. Line breaks without end instead of an answer were read at full speed until then too.

Cause: the client set no limit of an answer's size.

Ruled out: an error answer whose body never ends was ended by the library at 128 KB.

--- /dev/null
+++ b/tap-snapshots/dist/platform/endless_store_test.js.test.cjs
@@ -0,0 +1,17 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`dist/platform/endless_store_test.js > TAP > a store that answers without end is not read beyond a page > reads 1`] = `
+Array [
+  "a status line: no answer early, stopped, revision 7",
+  "line breaks: no answer early, stopped, revision 7",
+  "a page: no answer early, stopped, revision 7",
+  "a page without a length: no answer early, stopped, revision 7",
+  "an error: no answer early, stopped, revision 7",
+  "line breaks after a page: revision 7 early, stopped, revision 7",
+]
+`
