End an answer whose body never ends at its call's deadline

What callers saw: a keyless call, or one with a key, whose answer had begun and went on in a trickle beyond 64 KB got no final answer at all, as long as the target kept sending; the slot at the guard stayed taken. An idempotent call's answer streamed on without end, and one whose caller had stopped reading held its slot and its connection to the target for ever.

Cause: the guard ended its watch over the deadline with the head of the answer, not with its body.

Now the watch lasts until the body has ended. Giving up the connection frees the slot, since no reader may come for the rest. A body that the daemon itself cut no longer counts as a crash of the target.

Ruled out: an abandoned body gave its slot back before too.

--- /dev/null
+++ b/guard/endless_answer_test.ts
@@ -0,0 +1,170 @@
+import { err, ok } from 'neverthrow';
+import t from 'tap';
+import {
+  Deadline,
+  EMPTY_BODY,
+  Leg,
+  Repeatability,
+  type Attempt,
+  type AttemptResult,
+  type Body,
+  type BodyChunk,
+  type Route,
+} from '../contract/mod.ts';
+import { MemoryLog } from '../event_log/mod.ts';
+import { HomeRegions } from '../failure_domain/mod.ts';
+import { VirtualTimer, sleep } from '../timer/mod.ts';
+import {
+  Guard,
+  HEALTHY,
+  LimitKind,
+  Quarantine,
+  type TargetPort,
+  type TargetRequest,
+} from './mod.ts';
+
+const TIMEOUT_MS = 500;
+const CHUNK_PERIOD_MS = 10;
+const LONGEST_MS = 40_000;
+
+const ROUTE: Route = {
+  name: 'boards',
+  workspace: 'plata',
+  methods: undefined,
+  path: '/',
+  pools: [{ pool: 'boards', weight: 1 }],
+  repeatability: Repeatability.Idempotent,
+  homeRegions: HomeRegions.ANYWHERE,
+  weight: 1,
+  timeoutMs: TIMEOUT_MS,
+  objectiveMs: TIMEOUT_MS,
+  maxAttempts: 2,
+  bodyLimitBytes: 1_000,
+  quarantine: false,
+  hedge: false,
+};
+
+/** What is done with an answer's body. */
+enum Reading {
+  All = 'is read on',
+  /** Its reader takes the first bytes and stops. */
+  First = 'is left after its first bytes',
+  Abandoned = 'is abandoned',
+}
+
+/** A target that answers at once, with a body that trickles until it is cancelled. */
+class TricklingTarget implements TargetPort {
+  readonly #timer: VirtualTimer;
+  cancelledAtMs: number | undefined;
+
+  constructor(timer: VirtualTimer) {
+    this.#timer = timer;
+  }
+
+  run({ signal }: TargetRequest): ReturnType<TargetPort['run']> {
+    signal.addEventListener('abort', () => {
+      this.cancelledAtMs ??= this.#timer.now();
+    });
+    const body = this.#trickle(signal);
+    const fields = { load: undefined, targetId: undefined, shed: false, reported: undefined };
+    return Promise.resolve(ok({ status: 200, headers: [], body, ...fields }));
+  }
+
+  probe(): ReturnType<TargetPort['probe']> {
+    return Promise.resolve(HEALTHY);
+  }
+
+  async *#trickle(signal: AbortSignal): AsyncGenerator<BodyChunk> {
+    while (!signal.aborted) {
+      yield ok(Buffer.from('more'));
+      await sleep(this.#timer, CHUNK_PERIOD_MS, { signal });
+    }
+    yield err({ detail: 'cancelled' });
+  }
+}
+
+function makeAttempt(timer: VirtualTimer, repeatability: Repeatability): Attempt {
+  const controller = new AbortController();
+  return {
+    sender: 'entry',
+    sequence: 1,
+    leg: Leg.Guard,
+    fingerprint: undefined,
+    configurationVersion: 1,
+    insists: false,
+    call: {
+      id: '9c41',
+      route: { ...ROUTE, repeatability },
+      pool: 'boards',
+      callerPool: 'boards',
+      method: 'GET',
+      target: '/boards/3',
+      headers: [],
+      body: EMPTY_BODY,
+      deadline: new Deadline(timer, TIMEOUT_MS),
+      objective: new Deadline(timer, TIMEOUT_MS),
+      depth: 0,
+      key: undefined,
+      signal: controller.signal,
+      giveUp: () => {
+        controller.abort();
+      },
+    },
+  };
+}
+
+async function read(body: Body, reading: Reading): Promise<string> {
+  for await (const chunk of body) {
+    if (chunk.isErr()) return 'cut';
+    if (reading === Reading.Abandoned) return 'abandoned';
+    if (reading === Reading.First) await new Promise(() => undefined);
+  }
+  return 'whole';
+}
+
+async function endOf(result: AttemptResult, reading: Reading): Promise<string> {
+  if (result.isErr()) return `${result.error.kind} ${result.error.refusal.reason}`;
+  return read(result.value.body, reading);
+}
+
+async function play(repeatability: Repeatability, reading: Reading): Promise<string> {
+  const timer = new VirtualTimer();
+  const log = new MemoryLog(100);
+  const target = new TricklingTarget(timer);
+  const guard = new Guard({
+    instanceId: 'boards-1',
+    timer,
+    log,
+    port: target,
+    limitKind: LimitKind.Fixed,
+    quarantine: new Quarantine(timer, log),
+    probePeriodMs: undefined,
+    slots: () => 1,
+    pool: () => undefined,
+    objection: () => undefined,
+  });
+  let end = 'no end';
+  void guard.send(makeAttempt(timer, repeatability)).then(async (result) => {
+    const how = await endOf(result, reading);
+    end = `${how} at ${timer.now()} ms`;
+  });
+  let freeAtMs: number | undefined;
+  while (timer.now() < LONGEST_MS) {
+    await timer.advance(CHUNK_PERIOD_MS);
+    if (guard.isIdle) freeAtMs ??= timer.now();
+  }
+  guard.close();
+  const restarts = log.lines().filter((line) => line.includes('cold-start')).length;
+  return `${end}, slot free at ${freeAtMs ?? 'no'} ms, target cancelled at ${target.cancelledAtMs ?? 'no'} ms, restarts seen ${restarts}`;
+}
+
+void t.test('an answer whose body never ends gives its slot back at the deadline', async (t) => {
+  const seen: string[] = [];
+  for (const reading of Object.values(Reading)) {
+    seen.push(`idempotent, ${reading}: ${await play(Repeatability.Idempotent, reading)}`);
+  }
+  for (const each of [Repeatability.Keyless, Repeatability.NonIdempotent]) {
+    seen.push(`${each}: ${await play(each, Reading.All)}`);
+  }
+  t.matchSnapshot(seen, 'ends');
+});
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -58,6 +58,14 @@
   Starting = 'starting',
 }
 
+/** Bounds one execution until its answer has been taken as a whole. */
+interface ExecutionLimit {
+  /** Aborted when the execution is no longer wanted. */
+  signal: AbortSignal;
+  /** Aborts the signal once the time is up. */
+  expiry: Subscription;
+}
+
 /** What a {@linkcode Guard} needs. */
 export interface GuardOptions {
   /** Name of the instance whose target is guarded. */
@@ -262,17 +270,20 @@
     const inFlight = this.#gate.inFlight;
     const isUsualPace = this.#pace.slowdown <= 1;
     if (inFlight > this.#currentLimit()) this.#overload += 1;
-    const result = await this.#runTarget(attempt);
+    const limit = this.#executionLimit(attempt.call);
+    const result = await this.#runTarget(attempt, limit.signal);
     const elapsedMs = this.#timer.now() - startMs;
     this.#recordEnd(attempt, result, { elapsedMs, inFlight });
     if (isUsualPace && result.isOk() && !result.value.shed) {
       this.#pace.recordRun(attempt.call.route.name, elapsedMs);
     }
     if (result.isErr()) {
+      limit.expiry.cancel();
       this.#gate.leave();
       return this.#failureOf(result.error);
     }
     if (result.value.shed) {
+      limit.expiry.cancel();
       await abandonBody(result.value.body);
       this.#gate.leave();
       return this.#fail(
@@ -280,15 +291,14 @@
         notRun(RefusalReason.TargetShed, 'the target shed the call'),
       );
     }
-    return ok(this.#releaseAfter(result.value));
+    return ok(this.#releaseAfter(result.value, limit));
   }
 
-  async #runTarget({ call }: Attempt): Promise<Result<TargetAnswer, TargetFailure>> {
+  #runTarget({ call }: Attempt, signal: AbortSignal): Promise<Result<TargetAnswer, TargetFailure>> {
     const { id: callId, callerPool, method, target, headers, body } = call;
     const { leftMs } = call.deadline;
-    const { signal, expiry } = this.#executionLimit(call);
     const { targetId } = this.#health;
-    const result = await this.#options.port.run({
+    return this.#options.port.run({
       callId,
       callerPool,
       targetId,
@@ -299,12 +309,10 @@
       leftMs,
       signal,
     });
-    expiry.cancel();
-    return result;
   }
 
   /** A non-idempotent call goes on when nobody waits, so that its answer can be kept. */
-  #executionLimit(call: Call): { signal: AbortSignal; expiry: Subscription } {
+  #executionLimit(call: Call): ExecutionLimit {
     const { leftMs } = call.deadline;
     if (call.route.repeatability === Repeatability.Idempotent) {
       return { signal: call.signal, expiry: this.#timer.after(leftMs, call.giveUp) };
@@ -373,10 +381,21 @@
     return this.#fail(FailureKind.Unknown, unknown(reason, failure.detail));
   }
 
-  #releaseAfter(answer: TargetAnswer): Answer {
-    const body = watchBody(answer.body, (end) => {
+  /** The slot is free at the end of the body, or once the target's connection is given up. */
+  #releaseAfter(answer: TargetAnswer, { signal, expiry }: ExecutionLimit): Answer {
+    let isReleased = false;
+    const release = () => {
+      if (isReleased) return;
+      isReleased = true;
+      expiry.cancel();
+      signal.removeEventListener('abort', release);
       this.#gate.leave();
-      if (end === BodyEnd.Cut) this.#health.recordBroken();
+    };
+    signal.addEventListener('abort', release);
+    if (signal.aborted) release();
+    const body = watchBody(answer.body, (end) => {
+      release();
+      if (end === BodyEnd.Cut && !signal.aborted) this.#health.recordBroken();
     });
     const { status, headers } = answer;
     return { status, headers, body, load: this.load };
