Fault matrix: an entry and guards that hold different versions

Callers saw 404 unknown-route for requests that every version in force permits, while a configuration spread. The matrix had no case in which the two ends of a link know different versions: its configuration cases make no calls, and its calls change the configuration only by taking a domain out.

New cases: what differs (route added, dropped, moved; kind, homes, priority, timeout, shares; pool dropped; domain out and in; instance list; a daemon without a configuration; one cut off from the platform), who knows it first (entry, guards, all while the call is on its way or runs), for how long, each kind of call, and one further trouble (doubled frame, links cut). Versions are held apart by a platform that shows some daemons nothing new and by document frames that arrive late.

Judged by what the caller and the targets saw: once at most where a version in play says so, "not run" true, home regions, domains that are out, pools that serve the route, no refusal that blames a request which the entry's own version permits, a call that has the time is answered.

--- a/fakes/world.ts
+++ b/fakes/world.ts
@@ -1,5 +1,5 @@
 import { err, type Result } from 'neverthrow';
-import { Outcome, WholeBody, collectBody, type Headers } from '../contract/mod.ts';
+import { Outcome, WholeBody, collectBody, type Headers, type Refusal } from '../contract/mod.ts';
 import { Daemon } from '../daemon/mod.ts';
 import type { CallerReply } from '../entry/mod.ts';
 import { MemoryLog, type EventLog } from '../event_log/mod.ts';
@@ -18,6 +18,7 @@
 import { FakeTarget, RUN_ID_HEADER } from './fake_target.ts';
 import { MemoryNetwork } from './memory_network.ts';
 import { PausableTimer } from './pausable_timer.ts';
+import { WithheldSource } from './withheld_source.ts';
 
 const ANSWER_LIMIT_BYTES = 16_777_216;
 const START_MS = 1_000;
@@ -58,6 +59,8 @@
   targetPort?: (instanceId: string, timer: TimerService) => TargetPort;
   /** Log of each daemon; one in memory by default. */
   logLength?: number;
+  /** Called when a call begins to take effect at the target of an instance. */
+  onRun?: (runId: string, instanceId: string) => void;
 }
 
 /** A call to make in a {@linkcode World}. */
@@ -82,6 +85,8 @@
   text: string;
   nextKey: string | undefined;
   status: number | undefined;
+  /** The refusal, if no target answered. */
+  refusal: Refusal | undefined;
 }
 
 /** Real daemons in one process, with fakes at their interfaces and virtual time. */
@@ -92,6 +97,8 @@
   readonly members: WorldMember[] = [];
   /** Runs of each call at any target, counted apart from the daemons. */
   readonly runs = new Map<string, number>();
+  /** Names of instances that the platform shows nothing new. */
+  readonly withheld = new Set<string>();
   readonly #options: WorldOptions;
   readonly #ends = new WeakMap<AbortSignal, Promise<WorldResult>>();
   #incarnations = 0;
@@ -253,7 +260,10 @@
     return new FakeTarget({
       name,
       timer: this.timer,
-      onRun: (runId) => this.runs.set(runId, (this.runs.get(runId) ?? 0) + 1),
+      onRun: (runId) => {
+        this.runs.set(runId, (this.runs.get(runId) ?? 0) + 1);
+        this.#options.onRun?.(runId, name);
+      },
       serviceMs: serviceMs && (() => serviceMs(name)),
     });
   }
@@ -272,7 +282,7 @@
       timer: clock,
       log: log satisfies EventLog,
       dialer: mortalDialer(this.network.dialerFrom(instance.peerAddress), ended.signal),
-      platform: this.platform,
+      platform: new WithheldSource(this.platform, () => this.withheld.has(instance.id)),
       target: mortalTarget(port, ended.signal, clock),
       incarnation: `run-${this.#incarnations}`,
     });
@@ -328,6 +338,7 @@
     text: 'connection broken',
     nextKey: undefined,
     status: undefined,
+    refusal: undefined,
   };
   return new Promise((resolve) => {
     if (ended.aborted) resolve(broken);
@@ -344,11 +355,12 @@
 async function readReply({ result, nextKey }: CallerReply): Promise<WorldResult> {
   if (result.isErr()) {
     const { outcome, reason } = result.error;
-    return { outcome, text: reason, nextKey, status: undefined };
+    return { outcome, text: reason, nextKey, status: undefined, refusal: result.error };
   }
   const { status, body } = result.value;
   const read = await collectBody(body, ANSWER_LIMIT_BYTES);
-  if (read.isErr()) return { outcome: Outcome.Unknown, text: 'cut', nextKey, status };
+  const end = { nextKey, status, refusal: undefined };
+  if (read.isErr()) return { outcome: Outcome.Unknown, text: 'cut', ...end };
   const text = Buffer.from(read.value.bytes).toString();
-  return { outcome: Outcome.Answered, text, nextKey, status };
+  return { outcome: Outcome.Answered, text, ...end };
 }
--- /dev/null
+++ b/matrix/disagreement_change.ts
@@ -0,0 +1,185 @@
+import type { ConfigurationDocument } from '../configuration/mod.ts';
+import { exampleConfiguration } from '../fakes/mod.ts';
+import type { Instance } from '../instance/mod.ts';
+import { CallType } from './run_case.ts';
+
+/** What two daemons may see differently, since only one of them knows of it. */
+export enum Change {
+  RouteAdded = 'route-added',
+  RouteDropped = 'route-dropped',
+  RouteMoved = 'route-moved',
+  /** The route is repeatable in one version and runs at most once in the other. */
+  KindChanged = 'kind-changed',
+  HomesNarrowed = 'homes-narrowed',
+  PriorityChanged = 'priority-changed',
+  TimeoutShortened = 'timeout-shortened',
+  SharesChanged = 'shares-changed',
+  ShareDropped = 'share-dropped',
+  PoolDropped = 'pool-dropped',
+  DomainOut = 'domain-out',
+  DomainIn = 'domain-in',
+  /** The instance list names instances at the same addresses under another pool. */
+  TargetRelisted = 'target-relisted',
+  /** The instance list names other instances of another pool at the same addresses. */
+  TargetReplaced = 'target-replaced',
+  /** One side has no configuration yet. */
+  JustStarted = 'just-started',
+  /** One side gets versions from the other only; the route has moved. */
+  CutOff = 'cut-off',
+}
+
+/** Two versions of the configuration. */
+export interface Versions {
+  before: ConfigurationDocument;
+  after: ConfigurationDocument;
+}
+
+type RouteDocument = ConfigurationDocument['routes'][number];
+
+/** Pool of the daemon that callers use; no route of it is called. */
+export const FRONT_POOL = 'front';
+const DOMAIN = 'centro-a';
+const HOME = 'ar-norte';
+const SHORT_TIMEOUT_MS = 1_200;
+/** Domains whose targets the instance list takes for others. */
+const REPLACED_DOMAINS = ['centro-a', 'norte-a'];
+const MOST = 999;
+
+/**
+ * @param type A kind of call.
+ * @returns Name of its route.
+ */
+export function routeNameOf(type: CallType): string {
+  if (type === CallType.Idempotent) return 'read-board';
+  if (type === CallType.Keyless) return 'post-entry';
+  return type === CallType.Bound ? 'post-norte-result' : 'post-result';
+}
+
+/**
+ * @param type A kind of call.
+ * @returns Name of the pool that serves it before a change.
+ */
+export function poolOf(type: CallType): string {
+  return type === CallType.Idempotent ? 'boards' : 'results';
+}
+
+/**
+ * @param change A change.
+ * @param type Kind of the call that it concerns.
+ * @returns The versions before and after it.
+ */
+export function versionsOf(change: Change, type: CallType): Versions {
+  const before = withFront(exampleConfiguration());
+  const after = withFront(exampleConfiguration({ version: 2 }));
+  const name = routeNameOf(type);
+  const edit = (document: ConfigurationDocument, how: (route: RouteDocument) => RouteDocument) =>
+    editRoutes(document, (route) => (route.name === name ? how(route) : route));
+  const own = poolOf(type);
+  const other = otherPoolOf(own);
+  const split = (weight: number) => (route: RouteDocument) =>
+    withShares(route, [
+      { pool: own, weight },
+      { pool: other, weight: MOST + 1 - weight },
+    ]);
+  switch (change) {
+    case Change.RouteAdded:
+      return { before: dropRoute(before, name), after };
+    case Change.RouteDropped:
+      return { before, after: dropRoute(after, name) };
+    case Change.RouteMoved:
+    case Change.CutOff:
+      return { before, after: edit(after, (route) => withPool(route, other)) };
+    case Change.KindChanged:
+      return { before, after: edit(after, withOtherKind) };
+    case Change.HomesNarrowed:
+      return { before, after: edit(after, (route) => ({ ...route, homeRegions: [HOME] })) };
+    case Change.PriorityChanged:
+      return { before, after: edit(after, (route) => ({ ...route, weight: 5 })) };
+    case Change.TimeoutShortened:
+      return {
+        before,
+        after: edit(after, (route) => ({ ...route, timeoutMs: SHORT_TIMEOUT_MS })),
+      };
+    case Change.SharesChanged:
+      return { before: edit(before, split(MOST)), after: edit(after, split(1)) };
+    case Change.ShareDropped:
+      return {
+        before: edit(before, split(MOST)),
+        after: edit(after, (route) => withPool(route, other)),
+      };
+    case Change.PoolDropped:
+      return { before, after: dropPool(after, own) };
+    case Change.DomainOut:
+      return { before, after: withFront(exampleConfiguration({ version: 2, out: [DOMAIN] })) };
+    case Change.DomainIn:
+      return { before: withFront(exampleConfiguration({ out: [DOMAIN] })), after };
+    case Change.TargetRelisted:
+    case Change.TargetReplaced:
+    case Change.JustStarted:
+      return { before, after: before };
+  }
+}
+
+/**
+ * @param change A change.
+ * @param instances The instances that there are.
+ * @returns The instances that the list names after it, if it changes the list.
+ */
+export function instancesAfter(
+  change: Change,
+  instances: readonly Instance[],
+): Instance[] | undefined {
+  if (change !== Change.TargetRelisted && change !== Change.TargetReplaced) return undefined;
+  const isReplaced = change === Change.TargetReplaced;
+  return instances.map((instance) => {
+    const { id, pool, failureDomain } = instance;
+    if (!REPLACED_DOMAINS.includes(failureDomain)) return instance;
+    const targetId = `${id}/2`;
+    return { ...instance, id: isReplaced ? `${id}-2` : id, targetId, pool: otherPoolOf(pool) };
+  });
+}
+
+function otherPoolOf(pool: string): string {
+  return pool === 'boards' ? 'results' : 'boards';
+}
+
+function withFront(document: ConfigurationDocument): ConfigurationDocument {
+  const [first] = document.pools;
+  return first
+    ? { ...document, pools: [...document.pools, { ...first, name: FRONT_POOL }] }
+    : document;
+}
+
+function editRoutes(
+  document: ConfigurationDocument,
+  how: (route: RouteDocument) => RouteDocument,
+): ConfigurationDocument {
+  return { ...document, routes: document.routes.map(how) };
+}
+
+function dropRoute(document: ConfigurationDocument, name: string): ConfigurationDocument {
+  return { ...document, routes: document.routes.filter((route) => route.name !== name) };
+}
+
+function dropPool(document: ConfigurationDocument, dropped: string): ConfigurationDocument {
+  const other = otherPoolOf(dropped);
+  const moved = editRoutes(document, (route) =>
+    route.pool === dropped ? withPool(route, other) : route,
+  );
+  return { ...moved, pools: moved.pools.filter(({ name }) => name !== dropped) };
+}
+
+function withPool(route: RouteDocument, pool: string): RouteDocument {
+  return { ...route, pool };
+}
+
+function withShares(
+  route: RouteDocument,
+  pools: NonNullable<RouteDocument['pools']>,
+): RouteDocument {
+  return { ...route, pool: undefined, pools };
+}
+
+function withOtherKind(route: RouteDocument): RouteDocument {
+  return { ...route, idempotent: !route.idempotent, issuedKeys: false };
+}
--- a/matrix/mod.ts
+++ b/matrix/mod.ts
@@ -4,6 +4,9 @@
  * @module
  */
 export * from './configuration_case.ts';
+export * from './disagreement.ts';
+export * from './disagreement_case.ts';
+export * from './disagreement_change.ts';
 export * from './fault.ts';
 export * from './matrix.ts';
 export * from './run_case.ts';
