Play the matrix's versions and disagreements by hand too

Each kind of case is a suite now, and every broken case is printed with the command that plays it alone; a single disagreement is played with its frames and log lines.

Two further changes in the disagreement cases: home regions narrowed to the entry's own, and to the other one. On the code as it is, 3 cells leak: an idempotent call whose link broke is sent on by the route that it was admitted with, to regions that the version in force at its own entry no longer permits.

--- a/matrix/disagreement_case.ts
+++ b/matrix/disagreement_case.ts
@@ -303,7 +303,7 @@
 
   #note({ frame, from, to }: FrameInTransit): void {
     if (!('version' in frame)) return;
-    const text = `${from} to ${to}: ${frame.kind} version=${frame.version}`;
+    const text = `${from} to ${to}: ${FrameKind[frame.kind]} version=${frame.version}`;
     this.#frames.push(`${this.#world.timer.now()} ms ${text}`);
   }
 
--- a/matrix/disagreement_change.ts
+++ b/matrix/disagreement_change.ts
@@ -10,7 +10,10 @@
   RouteMoved = 'route-moved',
   /** The route is repeatable in one version and runs at most once in the other. */
   KindChanged = 'kind-changed',
+  /** Only the entry's own region remains a home region. */
   HomesNarrowed = 'homes-narrowed',
+  /** Only the other region remains a home region. */
+  HomesMoved = 'homes-moved',
   PriorityChanged = 'priority-changed',
   TimeoutShortened = 'timeout-shortened',
   SharesChanged = 'shares-changed',
@@ -39,7 +42,8 @@
 /** Pool of the daemon that callers use; no route of it is called. */
 export const FRONT_POOL = 'front';
 const DOMAIN = 'centro-a';
-const HOME = 'ar-norte';
+const ENTRY_REGION = 'ar-centro';
+const OTHER_REGION = 'ar-norte';
 const SHORT_TIMEOUT_MS = 1_200;
 /** Domains whose targets the instance list takes for others. */
 const REPLACED_DOMAINS = ['centro-a', 'norte-a'];
@@ -92,7 +96,9 @@
     case Change.KindChanged:
       return { before, after: edit(after, withOtherKind) };
     case Change.HomesNarrowed:
-      return { before, after: edit(after, (route) => ({ ...route, homeRegions: [HOME] })) };
+      return { before, after: edit(after, withHomes(ENTRY_REGION)) };
+    case Change.HomesMoved:
+      return { before, after: edit(after, withHomes(OTHER_REGION)) };
     case Change.PriorityChanged:
       return { before, after: edit(after, (route) => ({ ...route, weight: 5 })) };
     case Change.TimeoutShortened:
@@ -180,6 +186,10 @@
   return { ...route, pool: undefined, pools };
 }
 
+function withHomes(region: string): (route: RouteDocument) => RouteDocument {
+  return (route) => ({ ...route, homeRegions: [region] });
+}
+
 function withOtherKind(route: RouteDocument): RouteDocument {
   return { ...route, idempotent: !route.idempotent, issuedKeys: false };
 }
--- a/matrix/mod.ts
+++ b/matrix/mod.ts
@@ -11,3 +11,4 @@
 export * from './matrix.ts';
 export * from './run_case.ts';
 export * from './step.ts';
+export * from './suite.ts';
