--- a/matrix/mod.ts
+++ b/matrix/mod.ts
@@ -4,7 +4,11 @@
  * @module
  */
 export * from './configuration_case.ts';
+export * from './disagreement.ts';
+export * from './disagreement_case.ts';
+export * from './disagreement_change.ts';
 export * from './fault.ts';
 export * from './matrix.ts';
 export * from './run_case.ts';
 export * from './step.ts';
+export * from './suite.ts';
