Bound the wait for a version by a quarter of the call's time, and end once it was in vain

Callers whose entry could not get a version that the guards have waited until their deadline and got 504, where a refusal that may come back was known to be due: found by the matrix's cells of versions that are held apart for longer than a call (long): guards-newer ended deadline-passed after the entry had waited 0.5 s for each guard.

The wait is a quarter of the time that is left, at most 0.5 s, at the entry and at a guard. An entry that has waited in vain ends the call with the guard's refusal.

--- a/configuration/version_progress.ts
+++ b/configuration/version_progress.ts
@@ -1,5 +1,10 @@
 import { within, type TimerService } from '../timer/mod.ts';
 
+/** Longest wait for a version that a peer has; some round trips between regions, in milliseconds. */
+const CATCH_UP_MS = 500;
+/** Part of a call's time that one wait may take; the rest is for other targets. */
+const CATCH_UP_SHARE = 0.25;
+
 interface Waiter {
   version: number;
   resolve: () => void;
@@ -43,12 +48,15 @@
   }
 
   /**
+   * Waits for a version for a part of a call's time.
+   *
    * @param version The version to wait for.
-   * @param limitMs Longest wait, in milliseconds.
+   * @param leftMs Milliseconds until the call's deadline.
    * @returns Whether this version or a newer one is in force here.
    */
-  async until(version: number, limitMs: number): Promise<boolean> {
+  async until(version: number, leftMs: number): Promise<boolean> {
     if (this.#reached >= version) return true;
+    const limitMs = Math.min(leftMs * CATCH_UP_SHARE, CATCH_UP_MS);
     if (limitMs <= 0) return false;
     const waiter: Waiter = { version, resolve: () => undefined };
     const reached = new Promise<true>((resolve) => {
--- a/daemon/rule_agreement.ts
+++ b/daemon/rule_agreement.ts
@@ -8,7 +8,6 @@
   type Refusal,
   type Route,
 } from '../contract/mod.ts';
-import { CATCH_UP_MS } from '../entry/mod.ts';
 import type { PeerAttempt } from '../link/mod.ts';
 import type { WorldView } from './world_view.ts';
 
@@ -45,7 +44,7 @@
     const objection = leg === Leg.Guard ? this.#view.objectionToCall() : undefined;
     if (objection) return err(objection);
     if (rules.version > this.#view.version) {
-      await this.#view.progress.until(rules.version, Math.min(leftMs, CATCH_UP_MS));
+      await this.#view.progress.until(rules.version, leftMs);
     }
     return this.find(attempt);
   }
--- a/entry/call_router.ts
+++ b/entry/call_router.ts
@@ -18,8 +18,6 @@
 const SHARE_STEPS = 1_000_000;
 /** Addresses that a refusal names at most. */
 const MAX_ADDRESSES = 4;
-/** Longest wait for a version that a peer has in force; some round trips between regions, in milliseconds. */
-export const CATCH_UP_MS = 500;
 
 /** Refusals of calls that another version of the configuration may permit. */
 const ROUTING_REFUSALS: ReadonlySet<RefusalReason> = new Set([
@@ -87,7 +85,7 @@
     const { progress } = this.#options;
     const { heard } = progress;
     if (!ROUTING_REFUSALS.has(reason) || heard <= this.#version) return false;
-    return progress.until(heard, Math.min(leftMs, CATCH_UP_MS));
+    return progress.until(heard, leftMs);
   }
 
   /**
@@ -115,9 +113,10 @@
    *
    * @param version The version.
    * @param deadline The call's deadline.
+   * @returns Whether it is.
    */
-  async untilVersion(version: number, deadline: Deadline): Promise<void> {
-    await this.#options.progress.until(version, Math.min(deadline.leftMs, CATCH_UP_MS));
+  untilVersion(version: number, deadline: Deadline): Promise<boolean> {
+    return this.#options.progress.until(version, deadline.leftMs);
   }
 
   /**
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -141,8 +141,8 @@
         if (course.accept(result.value)) return ok(result.value);
       } else if (!course.mayFollow(result.error, decided.value.instance)) {
         return course.conclude(result.error.refusal);
-      } else {
-        await this.#catchUp(course.call, result.error.refusal);
+      } else if (!(await this.#catchUp(course.call, result.error.refusal))) {
+        return course.conclude(result.error.refusal);
       }
     }
   }
@@ -163,10 +163,10 @@
     });
   }
 
-  /** A guard that refuses by a newer version leads to no target until that version is known here. */
-  async #catchUp(call: Call, { reason, version = 0 }: Refusal): Promise<void> {
-    if (reason !== RefusalReason.VersionsDiffer || version <= call.version) return;
-    await this.#options.router.untilVersion(version, call.deadline);
+  /** Every guard may have the newer version that one has refused by, so it is needed here first. */
+  async #catchUp(call: Call, { reason, version = 0 }: Refusal): Promise<boolean> {
+    if (reason !== RefusalReason.VersionsDiffer || version <= call.version) return true;
+    return this.#options.router.untilVersion(version, call.deadline);
   }
 
   #tryOnce(
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -24,7 +24,7 @@
 import { Event, type EventLog } from '../event_log/mod.ts';
 import type { KeyOwner } from '../idempotency/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
-import { CATCH_UP_MS, pathOf, type CallRouter, type Routing } from './call_router.ts';
+import { pathOf, type CallRouter, type Routing } from './call_router.ts';
 import type { Dispatcher } from './dispatcher.ts';
 import type { KeyRelay } from './key_relay.ts';
 import { withRetryAdvice } from './retry_advice.ts';
@@ -33,6 +33,8 @@
 const MAX_DEPTH = 32;
 /** Bodies up to this size are read into memory before the first attempt, in bytes. */
 const SMALL_BODY_BYTES = 65_536;
+/** Time that a caller without a deadline is taken to wait while its route is not known, in milliseconds. */
+const UNROUTED_TIMEOUT_MS = 1_000;
 /** Longest part of a refusal's detail in a log line, which may hold a caller's path. */
 const MAX_DETAIL_CHARACTERS = 200;
 
@@ -143,7 +145,7 @@
   }
 
   #catchUp(req: CallerRequest, { reason }: Refusal): Promise<boolean> {
-    const leftMs = parseDeadlineMs(req.deadline, CATCH_UP_MS).unwrapOr(0);
+    const leftMs = parseDeadlineMs(req.deadline, UNROUTED_TIMEOUT_MS).unwrapOr(0);
     return this.#options.router.catchUp(reason, leftMs);
   }
 
