Reset a caller that reads no further once its call's deadline has passed

What was missing: a caller that had stopped reading a long answer kept its connection, and the task that serves it, until it left; over a link the entry had no watch over the deadline once the answer's head had come.

Cause: the entry cancelled its watch with the head, and the task waited for room in the connection only.

Now the entry's watch lasts until the body has ended, and giving up wakes the task, which finds the body cut and resets the connection.

Ruled out: a caller that leaves frees the target's connection at once over a link and on the same machine, and memory was bounded by back pressure.

--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -14,6 +14,7 @@
   parseDeadlineMs,
   runsAtMostOnce,
   unknown,
+  watchBody,
   type Answer,
   type Body,
   type Call,
@@ -264,9 +265,13 @@
       ? this.#options.timer.after(call.deadline.leftMs, call.giveUp)
       : undefined;
     const result = await this.#options.dispatcher.dispatch(call, fingerprint);
-    expiry?.cancel();
-    if (result.isErr() && call.deadline.hasPassed) return err(deadlineRefusal(result.error));
-    return result;
+    const stopWatch = () => {
+      expiry?.cancel();
+    };
+    if (result.isOk())
+      return ok({ ...result.value, body: watchBody(result.value.body, stopWatch) });
+    stopWatch();
+    return call.deadline.hasPassed ? err(deadlineRefusal(result.error)) : result;
   }
 
   #nextKey(admitted: Result<Call, Refusal>, result: Result<Answer, Refusal>): string | undefined {
--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -105,10 +105,12 @@
   outgoing: ServerResponse,
   { serve, isLeaving, dialect }: CallerServerOptions & { dialect: HttpDialect },
 ): Promise<void> {
-  const { callId, result, nextKey } = await serve(toCallerRequest(incoming, outgoing, dialect));
+  const req = toCallerRequest(incoming, outgoing, dialect);
+  const { callId, result, nextKey } = await serve(req);
   if (isLeaving?.()) outgoing.shouldKeepAlive = false;
   if (result.isOk()) {
-    await sendAnswer(outgoing, result.value, dialect.answerHeaders(callId, nextKey));
+    const own = dialect.answerHeaders(callId, nextKey);
+    await sendAnswer(outgoing, result.value, { own, signal: req.signal });
     return;
   }
   const { status, headers, body } = toProblem(result.error, callId, dialect);
@@ -177,7 +179,7 @@
 async function sendAnswer(
   outgoing: ServerResponse,
   { status, headers, body }: Answer,
-  own: Readonly<Record<string, string>>,
+  { own, signal }: { own: Readonly<Record<string, string>>; signal: AbortSignal },
 ): Promise<void> {
   const sent = [...headers.filter(([name]) => !(name in own)), ...Object.entries(own)].flat();
   if (BODILESS_STATUS.has(status)) {
@@ -192,28 +194,32 @@
     return;
   }
   outgoing.writeHead(status, sent);
-  await sendBody(outgoing, body);
+  await sendBody(outgoing, body, signal);
 }
 
-async function sendBody(outgoing: ServerResponse, body: Body): Promise<void> {
+async function sendBody(outgoing: ServerResponse, body: Body, signal: AbortSignal): Promise<void> {
   for await (const chunk of body) {
     if (chunk.isErr()) {
       // A reset, so that no client can take the part that was sent for the whole.
       if (outgoing.socket) resetSocket(outgoing.socket);
       return;
     }
-    if (!outgoing.write(chunk.value)) await drained(outgoing);
+    if (!outgoing.write(chunk.value)) await drained(outgoing, signal);
     if (outgoing.destroyed) return;
   }
   outgoing.end();
 }
 
-function drained(outgoing: ServerResponse): Promise<void> {
+/** A caller that reads no further is waited for until its call is given up. */
+function drained(outgoing: ServerResponse, signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return Promise.resolve();
   return new Promise((resolve) => {
     const done = () => {
       outgoing.off('drain', done).off('close', done);
+      signal.removeEventListener('abort', done);
       resolve();
     };
     outgoing.on('drain', done).on('close', done);
+    signal.addEventListener('abort', done);
   });
 }
