Refuse nothing as unknown or too large at an entry that knows it is behind

Any refusal that a version decides is now versions-differ (503, may come back) while a peer is known to have a newer one; the entry waits for that and looks again first. Versions that peers name in frames of their own count as heard too.

--- /dev/null
+++ b/daemon/outdated_entry_test.ts
@@ -0,0 +1,90 @@
+import t from 'tap';
+import { World, exampleConfiguration } from '../fakes/mod.ts';
+import { FrameKind } from '../link/mod.ts';
+import type { ConfigurationDocument } from '../configuration/mod.ts';
+
+const ENTRY_ID = 'halls-centro-a';
+/** Longer than an entry waits for a version that it has heard of. */
+const HELD_MS = 5_000;
+
+function configurationWith(version: number, paths: readonly string[]): ConfigurationDocument {
+  const example = exampleConfiguration({ version });
+  const [first] = example.pools;
+  const pools = ['boards', 'halls'].map((name) => ({ ...first, name }));
+  const [board] = example.routes;
+  const routes = paths.map((path) => ({
+    ...board,
+    name: `read-${path.slice(1)}`,
+    path,
+    pool: 'boards',
+  }));
+  return { ...example, pools, routes } as ConfigurationDocument;
+}
+
+function startWorld(): Promise<World> {
+  const watchers = ['halls', 'halls-2', 'halls-3', 'halls-4'].map((id) => ({
+    id: `${id}-centro-a`,
+    pool: 'halls',
+    failureDomain: 'centro-a',
+  }));
+  return World.start({
+    configuration: configurationWith(1, ['/boards']),
+    placings: [...watchers, { pool: 'boards', failureDomain: 'norte-a' }],
+    delayMs: (from, to) => (from === to ? 1 : 20),
+  });
+}
+
+void t.test(
+  'an entry does not call a route unknown while it lacks a version that peers have',
+  async (t) => {
+    const world = await startWorld();
+    const { instance, daemon } = world.member(ENTRY_ID);
+    t.notOk(daemon.status.isWatcher, 'a follower');
+    world.network.filter = ({ frame, to }) => {
+      const isHeld = frame.kind === FrameKind.Document && to === instance.peerAddress;
+      return [{ frame, delayMs: isHeld ? HELD_MS : 0 }];
+    };
+    world.platform.publish(configurationWith(2, ['/boards', '/added']));
+    await world.timer.advance(300);
+    // The answer of a peer tells the entry that there is a newer version.
+    const known = await world.callNow(ENTRY_ID, { target: '/boards/1', deadlineMs: 1_500 });
+    const startMs = world.timer.now();
+    const { text } = await world.callNow(ENTRY_ID, { target: '/added/1', deadlineMs: 1_500 });
+    t.matchSnapshot([known.outcome, `${text} after ${world.timer.now() - startMs} ms`], 'ends');
+  },
+);
+
+void t.test(
+  'an entry waits once for a version that it cannot get, not once for each guard',
+  async (t) => {
+    const example = configurationWith(1, ['/boards']);
+    const world = await World.start({
+      configuration: example,
+      placings: [
+        ...['halls', 'halls-2', 'halls-3', 'halls-4'].map((id) => ({
+          id: `${id}-centro-a`,
+          pool: 'halls',
+          failureDomain: 'centro-a',
+        })),
+        ...['boards', 'boards-2', 'boards-3', 'boards-4'].map((id) => ({
+          id: `${id}-norte-a`,
+          pool: 'boards',
+          failureDomain: 'norte-a',
+        })),
+      ],
+      delayMs: (from, to) => (from === to ? 1 : 20),
+    });
+    const { instance, daemon } = world.member(ENTRY_ID);
+    t.notOk(daemon.status.isWatcher, 'a follower');
+    world.network.filter = ({ frame, to }) => {
+      const isHeld = frame.kind === FrameKind.Document && to === instance.peerAddress;
+      return [{ frame, delayMs: isHeld ? HELD_MS : 0 }];
+    };
+    const routes = example.routes.map((route) => ({ ...route, pool: 'halls' }));
+    world.platform.publish({ ...example, routes, version: 2 });
+    await world.timer.advance(300);
+    const startMs = world.timer.now();
+    const { text } = await world.callNow(ENTRY_ID, { target: '/boards/1', deadlineMs: 4_000 });
+    t.matchSnapshot(`${text} after ${world.timer.now() - startMs} ms`, 'one wait');
+  },
+);
--- a/daemon/peer_control.ts
+++ b/daemon/peer_control.ts
@@ -34,7 +34,7 @@
    * @param frame The frame.
    */
   handle(link: PeerLink, frame: Frame): void {
-    const { board, quarantine, spread } = this.#options;
+    const { view, board, quarantine, spread } = this.#options;
     switch (frame.kind) {
       case FrameKind.Leaving:
         board.viewOf(link.peer.instanceId).recordLeaving();
@@ -48,6 +48,10 @@
       case FrameKind.Suspect:
         quarantine.recordCrash(frame.fingerprint, frame.instanceId);
         break;
+      case FrameKind.Versions:
+        view.progress.hear(frame.configuration);
+        spread().handle(link, frame);
+        break;
       default:
         spread().handle(link, frame);
     }
--- /dev/null
+++ b/daemon/upload_version_test.ts
@@ -0,0 +1,106 @@
+import t from 'tap';
+import { ok } from 'neverthrow';
+import type { BodyChunk } from '../contract/mod.ts';
+import { World, exampleConfiguration } from '../fakes/mod.ts';
+import { FrameKind } from '../link/mod.ts';
+import type { ConfigurationDocument } from '../configuration/mod.ts';
+import { sleep } from '../timer/mod.ts';
+
+const ENTRY_ID = 'halls-centro-a';
+const CHUNK_BYTES = 16_384;
+const CHUNKS = 12;
+/** Time for which the entry does not get a version that its peers have, in milliseconds. */
+const HELD_MS = 300;
+/** Times between two parts of an upload, in milliseconds; around the way to the guard. */
+const GAPS_MS = [10, 15, 20, 25, 30, 40, 60];
+
+function configurationWith(
+  version: number,
+  pool: string,
+  limit = 1_000_000,
+): ConfigurationDocument {
+  const example = exampleConfiguration({ version });
+  const [first] = example.pools;
+  const pools = ['boards', 'results', 'halls'].map((name) => ({ ...first, name }));
+  const routes = example.routes.map((route) => ({ ...route, pool, bodyLimitBytes: limit }));
+  return { ...example, pools, routes } as ConfigurationDocument;
+}
+
+async function startWorld(configuration: ConfigurationDocument): Promise<World> {
+  const watchers = ['halls', 'halls-2', 'halls-3', 'halls-4'].map((id) => ({
+    id: `${id}-centro-a`,
+    pool: 'halls',
+    failureDomain: 'centro-a',
+  }));
+  const targets = ['boards', 'results'].map((pool) => ({ pool, failureDomain: 'norte-a' }));
+  const world = await World.start({
+    configuration,
+    placings: [...watchers, ...targets],
+    delayMs: (from, to) => (from === to ? 1 : 20),
+  });
+  const { instance } = world.member(ENTRY_ID);
+  world.network.filter = ({ frame, to }) => {
+    const isHeld = frame.kind === FrameKind.Document && to === instance.peerAddress;
+    return [{ frame, delayMs: isHeld ? HELD_MS : 0 }];
+  };
+  return world;
+}
+
+void t.test(
+  'an upload is not called cut when its route moves while its start is kept',
+  async (t) => {
+    const seen: string[] = [];
+    for (const gapMs of GAPS_MS) {
+      const world = await startWorld(configurationWith(1, 'boards'));
+      // A first call, so that the link to the guard is open.
+      await world.callNow(ENTRY_ID, { target: '/boards/0' });
+      world.platform.publish(configurationWith(2, 'results'));
+      await world.timer.advance(20);
+      const upload = async function* (): AsyncGenerator<BodyChunk> {
+        for (let index = 0; index < CHUNKS; index += 1) {
+          await sleep(world.timer, gapMs);
+          yield ok(new Uint8Array(CHUNK_BYTES));
+        }
+      };
+      const caller = new AbortController();
+      const reply = world.member(ENTRY_ID).daemon.serve({
+        callId: undefined,
+        workspace: 'plata',
+        host: 'localhost',
+        method: 'POST',
+        target: '/entries',
+        headers: [],
+        announcedBytes: CHUNK_BYTES * CHUNKS,
+        body: upload(),
+        deadline: '1900',
+        depth: undefined,
+        key: undefined,
+        signal: caller.signal,
+        giveUp: () => {
+          caller.abort();
+        },
+      });
+      const { result } = await world.until(reply);
+      const end = result.match(
+        ({ status }) => String(status),
+        ({ reason, outcome }) => `${reason} ${outcome}`,
+      );
+      seen.push(`${gapMs} ms: ${end}`);
+    }
+    t.matchSnapshot(seen, 'ends by the pace of the upload');
+  },
+);
+
+void t.test('an entry waits for a newer version before it calls a body too large', async (t) => {
+  const world = await startWorld(configurationWith(1, 'boards', 10));
+  world.platform.publish(configurationWith(2, 'boards', 1_000));
+  await world.timer.advance(100);
+  await world.callNow(ENTRY_ID, { target: '/boards/0' });
+  const { text } = await world.callNow(ENTRY_ID, {
+    method: 'POST',
+    target: '/entries',
+    body: 'x'.repeat(100),
+    deadlineMs: 1_500,
+  });
+  t.matchSnapshot(text, 'end');
+});
--- a/entry/call_router.ts
+++ b/entry/call_router.ts
@@ -20,10 +20,12 @@
 const MAX_ADDRESSES = 4;
 
 /** Refusals of calls that another version of the configuration may permit. */
-const ROUTING_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+const DECIDED_BY_VERSION: ReadonlySet<RefusalReason> = new Set([
   RefusalReason.UnknownWorkspace,
   RefusalReason.UnknownRoute,
   RefusalReason.OutsideHomeRegions,
+  RefusalReason.BodyTooLarge,
+  RefusalReason.KeyRequired,
 ]);
 
 /** What an entry outside a call's home regions does with it. */
@@ -75,17 +77,25 @@
   }
 
   /**
-   * Waits for a version that peers have, if it may know what the one in force refuses.
+   * @param refusal A refusal by the rules in force.
+   * @returns The same, or one that blames no caller if a peer has a newer version, which may permit the call.
+   */
+  unlessOutdated(refusal: Refusal): Refusal {
+    const { heard } = this.#options.progress;
+    if (!DECIDED_BY_VERSION.has(refusal.reason) || heard <= this.#version) return refusal;
+    const detail = `version ${this.#version} is in force here, a peer has ${heard}: ${refusal.detail}`;
+    return notRun(RefusalReason.VersionsDiffer, detail);
+  }
+
+  /**
+   * Waits for the newest version that a peer has.
    *
-   * @param reason Why a call was refused by the rules in force.
-   * @param leftMs Milliseconds that its caller waits, at most.
-   * @returns Whether a newer version has come into force.
+   * @param leftMs Milliseconds that the caller waits, at most.
+   * @returns Whether it is in force here.
    */
-  async catchUp(reason: RefusalReason, leftMs: number): Promise<boolean> {
+  catchUp(leftMs: number): Promise<boolean> {
     const { progress } = this.#options;
-    const { heard } = progress;
-    if (!ROUTING_REFUSALS.has(reason) || heard <= this.#version) return false;
-    return progress.until(heard, leftMs);
+    return progress.until(progress.heard, leftMs);
   }
 
   /**
@@ -100,12 +110,14 @@
     const { route, method, target } = call;
     const { workspace } = route;
     const query = { workspace, host: '', method, path: pathOf(target) };
-    return this.find(query).map((routing) => ({
-      ...call,
-      version: routing.version,
-      route: withNewerRules(route, routing.route),
-      pool: serves(routing.route, call.pool) ? call.pool : routing.pool,
-    }));
+    return this.find(query)
+      .map((routing) => ({
+        ...call,
+        version: routing.version,
+        route: withNewerRules(route, routing.route),
+        pool: serves(routing.route, call.pool) ? call.pool : routing.pool,
+      }))
+      .mapErr((refusal) => this.unlessOutdated(refusal));
   }
 
   /**
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -112,7 +112,8 @@
     const callId = req.callId ?? randomUUID();
     const startMs = this.#options.timer.now();
     let admitted = this.#admit(req, callId, startMs);
-    if (admitted.isErr() && (await this.#catchUp(req, admitted.error))) {
+    if (admitted.isErr() && admitted.error.reason === RefusalReason.VersionsDiffer) {
+      await this.#options.router.catchUp(waitOf(req));
       admitted = this.#admit(req, callId, startMs);
     }
     const result = admitted.isErr()
@@ -142,12 +143,8 @@
     return this.#options.router
       .find({ workspace, host, method, path: pathOf(req.target) })
       .andThen((routing) => checkSize(routing, req))
-      .andThen((routing) => this.#makeCall(routing, req, { id, startMs }));
-  }
-
-  #catchUp(req: CallerRequest, { reason }: Refusal): Promise<boolean> {
-    const leftMs = parseDeadlineMs(req.deadline, UNROUTED_TIMEOUT_MS).unwrapOr(0);
-    return this.#options.router.catchUp(reason, leftMs);
+      .andThen((routing) => this.#makeCall(routing, req, { id, startMs }))
+      .mapErr((refusal) => this.#options.router.unlessOutdated(refusal));
   }
 
   #makeCall(
@@ -279,6 +276,11 @@
   return key === undefined ? refusal : { ...refusal, outcome: Outcome.Unknown };
 }
 
+/** Milliseconds that a caller waits, as far as that is known without a route. */
+function waitOf({ deadline }: CallerRequest): number {
+  return parseDeadlineMs(deadline, UNROUTED_TIMEOUT_MS).unwrapOr(0);
+}
+
 function checkSize(routing: Routing, req: CallerRequest): Result<Routing, Refusal> {
   const { route } = routing;
   const size = req.announcedBytes;
