Let a hedged call's end tell that one of its attempts may have run

If the first attempt was refused and the second lost, the call counted as not run: 503 for a call that may have run, and free to be repeated. Found by review; hedging is off unless a route asks for it. Now the failure that may have run is the call's. entry/hedge_test.ts: refused before, unknown now.

--- a/entry/hedge.ts
+++ b/entry/hedge.ts
@@ -1,4 +1,4 @@
-import type { AttemptResult, Call } from '../contract/mod.ts';
+import { isNotRun, type AttemptResult, type Call } from '../contract/mod.ts';
 import { within, type TimerService } from '../timer/mod.ts';
 
 /** Times the mean execution after which a call counts as slow. */
@@ -65,7 +65,7 @@
   return (await within(timer, delayMs, pending)) === undefined;
 }
 
-/** An attempt that fails waits for the other one; if both fail, the first counts. */
+/** An attempt that fails waits for the other one; if both fail, one that may have run counts. */
 async function firstAnswer(
   first: Promise<AttemptResult>,
   second: Promise<AttemptResult>,
@@ -77,5 +77,12 @@
   if (early.result.isOk()) return early;
   const late = await (early.isFirst ? second : first);
   if (late.isOk()) return { result: late, isFirst: !early.isFirst };
-  return { result: await first, isFirst: true };
+  const isSecondTelling = isUnrun(await first) && !isUnrun(await second);
+  return isSecondTelling
+    ? { result: await second, isFirst: false }
+    : { result: await first, isFirst: true };
+}
+
+function isUnrun(result: AttemptResult): boolean {
+  return result.isErr() && isNotRun(result.error.kind);
 }
--- /dev/null
+++ b/entry/hedge_test.ts
@@ -0,0 +1,43 @@
+import t from 'tap';
+import { err } from 'neverthrow';
+import {
+  EMPTY_BODY,
+  Deadline,
+  FailureKind,
+  RefusalReason,
+  notRun,
+  unknown,
+  type AttemptResult,
+  type Call,
+} from '../contract/mod.ts';
+import { VirtualTimer, sleep } from '../timer/mod.ts';
+import { raceHedged } from './hedge.ts';
+
+void t.test('a hedged call of which one attempt may have run is not called unrun', async (t) => {
+  const timer = new VirtualTimer();
+  const call = {
+    body: EMPTY_BODY,
+    deadline: new Deadline(timer, 2_000),
+    signal: new AbortController().signal,
+  } as unknown as Call;
+  const refused: AttemptResult = err({
+    kind: FailureKind.Refused,
+    refusal: notRun(RefusalReason.VersionsDiffer, 'waited in vain'),
+    load: undefined,
+  });
+  const lost: AttemptResult = err({
+    kind: FailureKind.Unknown,
+    refusal: unknown(RefusalReason.AnswerLost, 'reset'),
+    load: undefined,
+  });
+  const pending = raceHedged(call, {
+    timer,
+    serviceMs: 10,
+    first: () => sleep(timer, 500).then(() => refused),
+    second: () => () => sleep(timer, 100).then(() => lost),
+  });
+  await timer.advance(1_000);
+  const result = await pending;
+  const { kind, refusal } = result._unsafeUnwrapErr();
+  t.matchSnapshot(`${kind} ${refusal.reason}`, 'end');
+});
