Count a call once at each pool, and remember what ran before a version changed

Found by review of calls that go on under a newer version: - a server error that was kept in case no better answer came was not taken for a run, so a version that made the route run at most once let the call run again; - each version counted the call anew towards its pool's retry budget, also one that changed nothing for it (versions are store revisions); - a pool that was left and taken up again found its slow targets excluded for good. entry/course_test.ts shows each; the first and third failed before, the second counted three calls for one.

--- a/entry/course.ts
+++ b/entry/course.ts
@@ -27,9 +27,9 @@
   readonly excluded = new Set<string>();
   #call: Call;
   #budget: RetryBudget;
-  #slow: string[] = [];
+  readonly #slow: string[] = [];
   /** Instances whose guards differ from the version that the call was decided by. */
-  #differing: string[] = [];
+  readonly #differing: string[] = [];
   #reached = 0;
   #refused = 0;
   #insists = false;
@@ -65,6 +65,7 @@
   accept(answer: Answer): boolean {
     this.#reached += 1;
     if (!this.#isWorthAnother(answer)) return true;
+    this.#mayHaveRun = true;
     this.#failed = answer;
     return false;
   }
@@ -88,23 +89,27 @@
    * Goes on under newer rules, with targets that refused by them before.
    *
    * @param call The call under the newer rules.
-   * @param budget Bounds the further attempts of all calls to its pool.
+   * @param budgetOf Gives what bounds the further attempts of all calls to another pool.
    * @returns Whether they permit that it goes on; one that may have run must be repeatable still.
    */
-  renew(call: Call, budget: RetryBudget): boolean {
+  renew(call: Call, budgetOf: (call: Call) => RetryBudget): boolean {
     if (this.#mayHaveRun && runsAtMostOnce(call.route)) return false;
     if (call.pool !== this.#call.pool) {
-      this.#slow = [];
+      this.#budget = budgetOf(call);
+      this.#readmit(this.#slow);
       this.#insists = false;
     }
     this.#call = call;
-    this.#budget = budget;
-    this.#refused = 0;
-    for (const id of this.#differing) this.excluded.delete(id);
-    this.#differing = [];
+    this.#refused -= this.#differing.length;
+    this.#readmit(this.#differing);
     return true;
   }
 
+  #readmit(ids: string[]): void {
+    for (const id of ids) this.excluded.delete(id);
+    ids.length = 0;
+  }
+
   /**
    * Goes back to the targets that were too slow; one of them is to run the call.
    *
--- a/entry/course_test.ts
+++ b/entry/course_test.ts
@@ -6,6 +6,7 @@
   RefusalReason,
   Repeatability,
   RetryBudget,
+  WholeBody,
   notRun,
   unknown,
   withNewerRules,
@@ -92,7 +93,7 @@
       course.excluded.add(instance.id);
       const mayFollow = course.mayFollow(failure, instance);
       const route = withNewerRules(call.route, routeOf(newer));
-      const goesOn = mayFollow && course.renew({ ...call, route, version: 2 }, budget);
+      const goesOn = mayFollow && course.renew({ ...call, route, version: 2 }, () => budget);
       const tried = [...course.excluded].join(',');
       seen.push(
         `${older} to ${newer} after ${failure.kind}: goes on ${String(goesOn)} as ${route.repeatability}, excluded "${tried}"`,
@@ -102,3 +103,52 @@
   t.matchSnapshot(seen, 'courses');
   t.end();
 });
+
+void t.test('a call that a target has answered is not repeated once a version forbids it', (t) => {
+  const call = callOf(routeOf(Repeatability.Idempotent));
+  const course = new Course(call, budget);
+  const body = new WholeBody(Buffer.from('x'));
+  const isFinal = course.accept({ status: 500, headers: [], body, load: undefined });
+  const route = withNewerRules(call.route, routeOf(Repeatability.Keyless));
+  const goesOn = course.renew({ ...call, route, version: 2 }, () => budget);
+  t.matchSnapshot(
+    `a server error is final ${String(isFinal)}, goes on ${String(goesOn)}`,
+    'course',
+  );
+  t.end();
+});
+
+void t.test(
+  'a slow target stays the last resort of a call whose pool was left for a while',
+  (t) => {
+    const call = callOf(routeOf(Repeatability.Idempotent));
+    const course = new Course(call, budget);
+    const slow: AttemptFailure = {
+      ...REFUSED,
+      refusal: notRun(RefusalReason.TargetSlow, 'work takes 4 times as long as usual'),
+    };
+    course.excluded.add('boards-1');
+    course.mayFollow(slow, instanceOf('boards-1'));
+    course.renew({ ...call, pool: 'results', version: 2 }, () => budget);
+    course.excluded.add('results-1');
+    course.mayFollow(REFUSED, instanceOf('results-1'));
+    course.renew({ ...call, version: 3 }, () => budget);
+    t.matchSnapshot([...course.excluded], 'excluded targets');
+    t.end();
+  },
+);
+
+void t.test('a call is counted once at each pool, however many versions come meanwhile', (t) => {
+  const call = callOf(routeOf(Repeatability.Idempotent));
+  const counted: string[] = [];
+  const budgetOf = ({ pool, version }: Call) => {
+    counted.push(`${pool} at version ${version}`);
+    return budget;
+  };
+  const course = new Course(call, budget);
+  course.renew({ ...call, version: 2 }, budgetOf);
+  course.renew({ ...call, version: 3, pool: 'results' }, budgetOf);
+  course.renew({ ...call, version: 4, pool: 'results' }, budgetOf);
+  t.matchSnapshot(counted, 'counted beside its admission');
+  t.end();
+});
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -157,7 +157,9 @@
   #renew(course: Course): Result<void, Refusal> {
     const { call } = course;
     return this.#options.router.renew(call).andThen((renewed) => {
-      if (renewed === call || course.renew(renewed, this.#budgetOf(renewed))) return ok(undefined);
+      if (renewed === call || course.renew(renewed, (each) => this.#budgetOf(each))) {
+        return ok(undefined);
+      }
       const detail = 'the call may have run, and a newer version forbids to repeat it';
       return err(unknown(RefusalReason.VersionsDiffer, detail));
     });
