Blame no key for a version that came after it was issued

A key that had run was refused not-run once a version had given its path to a route of another name, which is untrue; and a key issued before its route got home regions was called invalid (400) instead of out of reach. Found by review, on keys that only callers of the product's own interface hold. Both now say unknown, the second with key-owner-gone (502).

--- a/entry/key_relay.ts
+++ b/entry/key_relay.ts
@@ -58,8 +58,8 @@
     const claims = read.value;
     if (this.#options.owner.holds(claims.incarnation)) return runHere();
     if (!call.route.homeRegions.permits(claims.region)) {
-      const detail = 'the key was issued outside the home regions';
-      return err(unknown(RefusalReason.KeyInvalid, detail));
+      const detail = 'the owner of the key stands outside the home regions';
+      return err(unknown(RefusalReason.KeyOwnerGone, detail));
     }
     return this.#runAtHolder(call, claims);
   }
--- a/idempotency/key_owner.ts
+++ b/idempotency/key_owner.ts
@@ -180,7 +180,10 @@
     }
     if (!isSigned(text, call.route, { secret: issuer.secret })) {
       const detail = `the key was not issued for route "${call.route.name}"`;
-      return err(notRun(RefusalReason.KeyInvalid, detail));
+      // A version may have moved the call's path to this route after it ran under another.
+      const mayHaveRun = issuer.records.has(claims.sequence);
+      const refuse = mayHaveRun ? unknown : notRun;
+      return err(refuse(RefusalReason.KeyInvalid, detail));
     }
     return this.#checkExpiry(issuer, claims, call.route);
   }
