Decide a call anew at its key's owner, and run it as its sender counts on it

An owner looked the route up by its own version but marked the call as decided at the sender's, so that it never went on to that version. A guard that had another kind for the route than the sender took a call with a key for one without, or the other way around, and ended its run 30 s too early or too late; the kind now follows from the frame (at most once, and whether it carries a key).

--- a/contract/refusal.ts
+++ b/contract/refusal.ts
@@ -4,7 +4,7 @@
 export enum RefusalReason {
   UnknownWorkspace = 'unknown-workspace',
   UnknownRoute = 'unknown-route',
-  /** The rules in force at the executor are not those that the call was decided by. */
+  /** Two daemons differ in the rules in force, or in the pool of an instance; the call is not at fault. */
   VersionsDiffer = 'versions-differ',
   MalformedDeadline = 'malformed-deadline',
   DeadlinePassed = 'deadline-passed',
--- a/contract/route.ts
+++ b/contract/route.ts
@@ -61,12 +61,14 @@
 
 /** The rules that a call was decided by, as its sender names them to the executor. */
 export interface DecidedRules {
+  /** Name of the route's workspace. */
   workspace: string;
   /** Name of the route. */
   route: string;
+  /** Name of the pool that is to run the call. */
   pool: string;
-  /** Whether the sender counts on the call running once at most. */
-  runsAtMostOnce: boolean;
+  /** How often the sender counts on the call to run, for which it answers. */
+  repeatability: Repeatability;
   /** Version of the configuration that all this was taken from. */
   version: number;
 }
@@ -85,20 +87,6 @@
   return runsAtMostOnce(newer) ? { ...newer, repeatability: Repeatability.Keyless } : newer;
 }
 
-/**
- * Fits a route to how often the sender of an attempt counts on it to run, since the sender answers
- * for the call.
- *
- * @param route The route by the version in force at the executor.
- * @param isOnce Whether the sender counts on the call running once at most.
- * @returns The route to execute the attempt by.
- */
-export function asSenderCounts(route: Route, isOnce: boolean): Route {
-  if (runsAtMostOnce(route) === isOnce) return route;
-  const repeatability = isOnce ? Repeatability.Keyless : Repeatability.Idempotent;
-  return { ...route, repeatability };
-}
-
 /** Targets that serve the same calls, and their limits. */
 export interface Pool {
   name: string;
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -293,7 +293,7 @@
         guard: this.guard,
         runOwned: (call) => this.#runOwned(call),
         findRoute: (attempt) => agreement.find(attempt),
-        findNewerRoute: (attempt) => agreement.findNewer(attempt),
+        findRouteOnceCaughtUp: (attempt) => agreement.findOnceCaughtUp(attempt),
         version: () => this.#view.version,
         onControl: (link, frame) => {
           this.#control.handle(link, frame);
--- a/daemon/rule_agreement.ts
+++ b/daemon/rule_agreement.ts
@@ -2,7 +2,6 @@
 import {
   Leg,
   RefusalReason,
-  asSenderCounts,
   unknown,
   type DecidedRules,
   type Refusal,
@@ -29,7 +28,8 @@
     if (objection) return err(objection);
     const route = this.#view.routes.byName(rules.workspace, rules.route);
     if (!route) return err(unknownToOwner(rules));
-    return ok(asSenderCounts(route, rules.runsAtMostOnce));
+    const { repeatability } = rules;
+    return ok(route.repeatability === repeatability ? route : { ...route, repeatability });
   }
 
   /**
@@ -39,7 +39,7 @@
    * @param attempt The attempt, which the rules in force refuse.
    * @returns The route to execute it by, or a refusal.
    */
-  async findNewer(attempt: PeerAttempt): Promise<Result<Route, Refusal>> {
+  async findOnceCaughtUp(attempt: PeerAttempt): Promise<Result<Route, Refusal>> {
     const { rules, leg, leftMs } = attempt;
     const objection = leg === Leg.Guard ? this.#view.objectionToCall() : undefined;
     if (objection) return err(objection);
--- a/daemon/world_view.ts
+++ b/daemon/world_view.ts
@@ -1,5 +1,6 @@
 import {
   RefusalReason,
+  Repeatability,
   RouteTable,
   notRun,
   runsAtMostOnce,
@@ -134,14 +135,9 @@
     const isHeld = this.isLeaving && phase === AdmissionPhase.Starting;
     const objection = isHeld ? undefined : (this.objectionToCall() ?? this.#objectionToPlace());
     if (objection) return objection;
-    const { pool, version, route } = call;
-    return this.objectionToRules({
-      workspace: route.workspace,
-      route: route.name,
-      pool,
-      runsAtMostOnce: runsAtMostOnce(route),
-      version,
-    });
+    const { pool, version } = call;
+    const { workspace, name, repeatability } = call.route;
+    return this.objectionToRules({ workspace, route: name, pool, repeatability, version });
   }
 
   /**
@@ -154,33 +150,24 @@
       return notRun(RefusalReason.DomainOut, `failure domain "${failureDomain}" was taken out`);
     }
     if (rules.pool !== pool) {
-      return this.differs(`this instance serves pool "${pool}", not "${rules.pool}"`);
+      return differs(`this instance serves pool "${pool}", not "${rules.pool}"`);
     }
     const route = this.routes.byName(rules.workspace, rules.route);
-    if (!route) return this.differs(`route "${rules.route}" is not there`);
+    if (!route) return differs(`route "${rules.route}" is not there`);
     if (!route.pools.some((share) => share.pool === pool)) {
-      return this.differs(`pool "${pool}" does not serve the route`);
+      return differs(`pool "${pool}" does not serve the route`);
     }
     if (!route.homeRegions.permits(this.region)) {
-      return this.differs('the target is outside the home regions');
+      return differs('the target is outside the home regions');
     }
-    const isStricter = runsAtMostOnce(route) && !rules.runsAtMostOnce;
+    const isStricter = runsAtMostOnce(route) && rules.repeatability === Repeatability.Idempotent;
     // An older version says nothing against what a newer one permits.
     if (isStricter && rules.version < this.version) {
-      return this.differs('the route may run once at most');
+      return differs('the route may run once at most');
     }
     return undefined;
   }
 
-  /**
-   * @param detail How the rules in force differ from those that an attempt was decided by.
-   * @returns The refusal of that attempt, with the version in force here.
-   */
-  differs(detail: string): Refusal {
-    const refusal = notRun(RefusalReason.VersionsDiffer, detail);
-    return { ...refusal, version: this.version };
-  }
-
   #objectionToPlace(): Refusal | undefined {
     const { id } = this.#options.instance;
     const listed = this.#fleet.find(id);
@@ -201,3 +188,7 @@
     this.progress.reach(configuration.version);
   }
 }
+
+function differs(detail: string): Refusal {
+  return notRun(RefusalReason.VersionsDiffer, detail);
+}
--- a/link/call_frames.ts
+++ b/link/call_frames.ts
@@ -2,6 +2,7 @@
   Deadline,
   EMPTY_BODY,
   FailureKind,
+  Repeatability,
   WholeBody,
   runsAtMostOnce,
   type Answer,
@@ -40,7 +41,7 @@
     objectiveLeftMs: Math.round(call.objective.leftMs),
     insists: attempt.insists,
     depth: call.depth,
-    key: call.key ?? null,
+    key: keyOf(call),
     fingerprint: attempt.fingerprint ?? null,
     version: call.version,
     body: call.body instanceof WholeBody ? call.body.bytes : null,
@@ -51,6 +52,8 @@
 export interface FromCallFrameOptions {
   timer: TimerService;
   route: Route;
+  /** Version of the configuration that the call is decided by. */
+  version: number;
   /** Milliseconds that the attempt has waited since its frame arrived. */
   waitedMs: number;
   /** The body, if it arrives in further frames. */
@@ -70,14 +73,14 @@
 export function fromCallFrame(
   frame: CallFrame,
   sender: string,
-  { timer, route, waitedMs, incoming, signal, giveUp }: FromCallFrameOptions,
+  { timer, route, version, waitedMs, incoming, signal, giveUp }: FromCallFrameOptions,
 ): Attempt {
   const inline = frame.body ? new WholeBody(frame.body) : EMPTY_BODY;
   const call: Call = {
     id: frame.callId,
     route,
     pool: frame.pool,
-    version: frame.version,
+    version,
     callerPool: frame.callerPool,
     method: frame.method,
     target: frame.target,
@@ -176,3 +179,8 @@
     load: frame.load ?? undefined,
   };
 }
+
+/** Callers may send a key that their route asks for no longer, or never did. */
+function keyOf({ key, route }: Call): string | null {
+  return route.repeatability === Repeatability.NonIdempotent ? (key ?? null) : null;
+}
--- a/link/frame.ts
+++ b/link/frame.ts
@@ -60,7 +60,7 @@
   workspace: string;
   route: string;
   pool: string;
-  /** Whether the sender counts on the call running once at most; the receiver's version may differ. */
+  /** Whether the sender counts on the call running once at most, which its version may say and another not. */
   runsAtMostOnce: boolean;
   callerPool: string;
   method: string;
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -4,6 +4,7 @@
   FailureKind,
   Leg,
   RefusalReason,
+  Repeatability,
   WholeBody,
   isNotRun,
   notRun,
@@ -78,7 +79,7 @@
    * @param attempt What the attempt was decided by.
    * @returns As above, by the rules in force afterwards.
    */
-  findNewerRoute: (attempt: PeerAttempt) => Promise<Result<Route, Refusal>>;
+  findRouteOnceCaughtUp: (attempt: PeerAttempt) => Promise<Result<Route, Refusal>>;
   /** @returns Version of the configuration in force. */
   version: () => number;
   /** Takes a frame that concerns no attempt. */
@@ -345,7 +346,7 @@
     const { leg, leftMs } = frame;
     const asked: PeerAttempt = { rules: rulesOf(frame), leg, leftMs };
     let found = this.#services.findRoute(asked);
-    if (found.isErr()) found = await this.#services.findNewerRoute(asked);
+    if (found.isErr()) found = await this.#services.findRouteOnceCaughtUp(asked);
     if (found.isErr()) {
       this.#logRefused(frame, found.error);
       this.#sendEnd(exchange, await this.#refuseForGood(frame, found.error));
@@ -353,7 +354,9 @@
       return;
     }
     const waitedMs = timer.now() - arrivedMs;
-    const options = { timer, route: found.value, waitedMs, incoming, signal, giveUp };
+    // An owner decides the call anew, by its own version.
+    const version = leg === Leg.Owner ? this.#services.version() : frame.version;
+    const options = { timer, route: found.value, version, waitedMs, incoming, signal, giveUp };
     const attempt = fromCallFrame(frame, this.peer.incarnation, options);
     await this.#sendResult(exchange, await executeAttempt(attempt, this.#services));
     incoming?.end('the attempt has ended');
@@ -436,8 +439,15 @@
   }
 }
 
-function rulesOf({ workspace, route, pool, runsAtMostOnce, version }: CallFrame): DecidedRules {
-  return { workspace, route, pool, runsAtMostOnce, version };
+function rulesOf(frame: CallFrame): DecidedRules {
+  const { workspace, route, pool, version } = frame;
+  return { workspace, route, pool, repeatability: repeatabilityOf(frame), version };
+}
+
+/** Only a call that runs at most once carries a key, unless its caller has none. */
+function repeatabilityOf({ runsAtMostOnce, key }: CallFrame): Repeatability {
+  if (!runsAtMostOnce) return Repeatability.Idempotent;
+  return key === null ? Repeatability.Keyless : Repeatability.NonIdempotent;
 }
 
 function neverSent(): AttemptFailure {
--- a/scale/link_cost.ts
+++ b/scale/link_cost.ts
@@ -111,7 +111,7 @@
       findRoute: () => {
         throw new Error('expected no attempt');
       },
-      findNewerRoute: () => Promise.reject(new Error('expected no attempt')),
+      findRouteOnceCaughtUp: () => Promise.reject(new Error('expected no attempt')),
       version: () => 0,
       onControl: () => undefined,
       onVersion: () => undefined,
