Release nothing of the solver's context while it runs

`npm run spec` crashed once, with a third system: "memory access out of bounds" in the solver's thread (undo_mk_bool_var, delete_node) while the main thread's finalizers released a solver of the same context. The library releases what JavaScript no longer uses whenever the collector runs, and its counts of references are not atomic; the more systems, the more collections fall into a check.

Collect before each check and let the finalizers run, so that none is left to run beside it. The collector must be reachable, as for `npm run scale`. Ruled out: a defect of the new system, which was proved twice by itself.

--- a/spec/check.ts
+++ b/spec/check.ts
@@ -1,6 +1,10 @@
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { Arith, Bool, Expr, Solver } from 'z3-solver';
 import { Sort, type Action, type State, type System, type Z3 } from './system.ts';
 
+/** Turns of the event loop in which finalizers run after a collection. */
+const FINALIZER_TURNS = 3;
+
 /** What the checker found out about one system. */
 export interface CheckReport {
   system: string;
@@ -80,6 +84,7 @@
 
 /** A question without an answer is neither proved nor refuted, and must not pass for either. */
 async function decide(solver: Solver<'spec'>, question: string): Promise<'sat' | 'unsat'> {
+  await collectGarbage();
   const answer = await solver.check();
   if (answer === 'unknown') {
     throw new Error(`the solver left open: ${question}, ${solver.reasonUnknown()}`);
@@ -87,6 +92,16 @@
   return answer;
 }
 
+/**
+ * The solver runs in a thread of its own and its counts of references are not
+ * atomic, so nothing of its context may be released here meanwhile.
+ */
+async function collectGarbage(): Promise<void> {
+  globalThis.gc?.();
+  // Finalizers run as tasks of their own, after the collection.
+  for (let turn = 0; turn < FINALIZER_TURNS; turn += 1) await nextTurn();
+}
+
 function invariant(z3: Z3, system: System, state: State): Bool<'spec'> {
   const properties = Object.values(system.properties(z3, state));
   return z3.And(...properties, ...system.lemmas(z3, state));
