Spec: an entry and guards that hold different versions

The model knew versions that never revert at a daemon, and calls without versions; nothing said what must hold when an entry decides by one version and a guard by another. The new system has one call, an entry and two guards with versions that rise at different moments, and routes whose kind, home regions and pools change between them.

--- a/spec/main.ts
+++ b/spec/main.ts
@@ -2,12 +2,13 @@
 import { formatTable } from '../cli/output.ts';
 import { atMostOnce } from './at_most_once.ts';
 import { checkSystem, type CheckReport } from './check.ts';
+import { disagreement } from './disagreement.ts';
 import { versions } from './versions.ts';
 
 const { Context } = await init();
 const z3 = Context('spec');
 let isProved = true;
-for (const system of [atMostOnce, versions]) {
+for (const system of [atMostOnce, versions, disagreement]) {
   const report = await checkSystem(z3, system);
   print(report);
   const isSound = report.broken.length === 0 && report.isInductive;
