--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -1,6 +1,7 @@
 import { RefusalReason, notRun, type Call } from '../contract/mod.ts';
 import {
   AttemptCounter,
+  CallRouter,
   Dispatcher,
   Entry,
   KeyRelay,
@@ -12,6 +13,7 @@
 import { KeyOwner } from '../idempotency/mod.ts';
 import { LifeStage, newIncarnation, type Instance } from '../instance/mod.ts';
 import { FrameKind, LinkTable, PeerLink, type Dialer, type FrameChannel } from '../link/mod.ts';
+import { NoMetrics, type Metrics } from '../metrics/mod.ts';
 import { Placement, TargetBoard, makePicker } from '../placement/mod.ts';
 import type { Configuration, DocumentSource } from '../configuration/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
@@ -22,6 +24,7 @@
 import { handOverKeys, type HandoverResult } from './hand_over_keys.ts';
 import type { DaemonStatus } from './daemon_status.ts';
 import { PeerControl } from './peer_control.ts';
+import { RuleAgreement } from './rule_agreement.ts';
 import { VersionLearning } from './version_learning.ts';
 import { WorldView } from './world_view.ts';
 
@@ -35,6 +38,8 @@
   settings: Settings;
   timer: TimerService;
   log: EventLog;
+  /** Receives measurements; none are kept by default. */
+  metrics?: Metrics;
   dialer: Dialer;
   platform: DocumentSource;
   target: TargetPort;
@@ -90,6 +95,7 @@
       probePeriodMs: settings.target.probePeriodMs,
       slots: () => this.#view.fleet.find(instance.id)?.slots,
       pool: () => this.#view.configuration?.pool(instance.pool),
+      version: () => this.#view.version,
       objection: (attempt, phase) => {
         this.#pauseWatch.check();
         return this.#view.objectionToAttempt(attempt, phase);
@@ -113,7 +119,7 @@
       incarnation: this.incarnation,
       ...settings.keys,
     });
-    this.entry = this.#makeEntry(random);
+    this.entry = this.#makeEntry(random, options.metrics ?? new NoMetrics());
     this.spread = new VersionSpread({
       timer,
       log,
@@ -253,6 +259,7 @@
 
   #makeView(): WorldView {
     return new WorldView({
+      timer: this.#timer,
       instance: this.#settings.instance,
       onDomainOut: () => {
         this.guard.refuseWaiting(
@@ -270,6 +277,7 @@
 
   #makeLinks({ dialer, settings }: DaemonOptions): LinkTable {
     const { id, failureDomain } = settings.instance;
+    const agreement = new RuleAgreement(this.#view);
     return new LinkTable({
       instanceId: id,
       incarnation: this.incarnation,
@@ -284,30 +292,42 @@
         log: this.#log,
         guard: this.guard,
         runOwned: (call) => this.#runOwned(call),
-        route: (workspace, name) => this.#view.routes.byName(workspace, name),
+        findRoute: (attempt) => agreement.find(attempt),
+        findNewerRoute: (attempt) => agreement.findNewer(attempt),
         version: () => this.#view.version,
         onControl: (link, frame) => {
           this.#control.handle(link, frame);
         },
         onVersion: (link, version) => {
+          this.#view.progress.hear(version);
           this.spread.noteVersion(link, version);
         },
       },
     });
   }
 
-  #makeEntry(random: SeededRandom): Entry {
+  #makeEntry(random: SeededRandom, metrics: Metrics): Entry {
     const { instance, decisions } = this.#settings;
     const timer = this.#timer;
     const log = this.#log;
     const attempts = new AttemptCounter(this.incarnation);
     const picker = makePicker(decisions.picker, random);
     const scene = () => this.#view.scene;
+    const router = new CallRouter({
+      random,
+      foreignEntry: decisions.foreignEntry,
+      region: () => this.#view.region,
+      routes: () => this.#view.routes,
+      scene,
+      progress: this.#view.progress,
+    });
     const dispatcher = new Dispatcher({
       timer,
       log,
+      metrics,
       scene,
       attempts,
+      router,
       peers: this.links,
       board: this.#board,
       quarantine: this.#quarantine,
@@ -321,15 +341,12 @@
     return new Entry({
       timer,
       log,
-      random,
       pool: instance.pool,
-      foreignEntry: decisions.foreignEntry,
+      router,
+      version: () => this.#view.version,
       dispatcher,
       owner,
       relay: new KeyRelay({ timer, owner, peers, attempts, scene }),
-      region: () => this.#view.region,
-      routes: () => this.#view.routes,
-      scene,
       objection: () => this.#view.objectionToCall(),
     });
   }
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -58,6 +58,14 @@
   Starting = 'starting',
 }
 
+/** Bounds one execution until its answer has been taken as a whole. */
+interface ExecutionLimit {
+  /** Aborted when the execution is no longer wanted. */
+  signal: AbortSignal;
+  /** Aborts the signal once the time is up. */
+  expiry: Subscription;
+}
+
 /** What a {@linkcode Guard} needs. */
 export interface GuardOptions {
   /** Name of the instance whose target is guarded. */
@@ -73,6 +81,8 @@
   slots: () => number | undefined;
   /** @returns The rules in force for the target's pool, if the configuration has them. */
   pool: () => Pool | undefined;
+  /** @returns Version of the configuration in force. */
+  version: () => number;
   /**
    * @param attempt An attempt.
    * @param phase When it is looked at.
@@ -150,9 +160,9 @@
   }
 
   async send(attempt: Attempt): Promise<AttemptResult> {
+    if (runsAtMostOnce(attempt.call.route)) return this.#runOnce(attempt);
     const objection = this.#objectionTo(attempt, AdmissionPhase.Arriving);
-    if (objection) return this.#refuse(attempt, objection);
-    return runsAtMostOnce(attempt.call.route) ? this.#runOnce(attempt) : this.#admit(attempt);
+    return objection ? this.#refuse(attempt, objection) : this.#admit(attempt);
   }
 
   settle(id: AttemptId, deadline: Deadline): Promise<AttemptResult> {
@@ -210,7 +220,11 @@
     const id = { sender: attempt.sender, sequence: attempt.sequence };
     const accepted = this.#ledger.accept(id);
     if (accepted.isErr()) return err({ ...accepted.error, load: this.load });
-    const result = await this.#keepWhole(await this.#admit(attempt, id));
+    // A refused attempt is in the ledger too, so that a late copy of it never runs.
+    const objection = this.#objectionTo(attempt, AdmissionPhase.Arriving);
+    const result = objection
+      ? this.#refuse(attempt, objection)
+      : await this.#keepWhole(await this.#admit(attempt, id));
     this.#ledger.end(id, result);
     return result;
   }
@@ -262,17 +276,20 @@
     const inFlight = this.#gate.inFlight;
     const isUsualPace = this.#pace.slowdown <= 1;
     if (inFlight > this.#currentLimit()) this.#overload += 1;
-    const result = await this.#runTarget(attempt);
+    const limit = this.#executionLimit(attempt.call);
+    const result = await this.#runTarget(attempt, limit.signal);
     const elapsedMs = this.#timer.now() - startMs;
     this.#recordEnd(attempt, result, { elapsedMs, inFlight });
     if (isUsualPace && result.isOk() && !result.value.shed) {
       this.#pace.recordRun(attempt.call.route.name, elapsedMs);
     }
     if (result.isErr()) {
+      limit.expiry.cancel();
       this.#gate.leave();
       return this.#failureOf(result.error);
     }
     if (result.value.shed) {
+      limit.expiry.cancel();
       await abandonBody(result.value.body);
       this.#gate.leave();
       return this.#fail(
@@ -280,15 +297,14 @@
         notRun(RefusalReason.TargetShed, 'the target shed the call'),
       );
     }
-    return ok(this.#releaseAfter(result.value));
+    return ok(this.#releaseAfter(result.value, limit));
   }
 
-  async #runTarget({ call }: Attempt): Promise<Result<TargetAnswer, TargetFailure>> {
+  #runTarget({ call }: Attempt, signal: AbortSignal): Promise<Result<TargetAnswer, TargetFailure>> {
     const { id: callId, callerPool, method, target, headers, body } = call;
     const { leftMs } = call.deadline;
-    const { signal, expiry } = this.#executionLimit(call);
     const { targetId } = this.#health;
-    const result = await this.#options.port.run({
+    return this.#options.port.run({
       callId,
       callerPool,
       targetId,
@@ -299,12 +315,10 @@
       leftMs,
       signal,
     });
-    expiry.cancel();
-    return result;
   }
 
   /** A non-idempotent call goes on when nobody waits, so that its answer can be kept. */
-  #executionLimit(call: Call): { signal: AbortSignal; expiry: Subscription } {
+  #executionLimit(call: Call): ExecutionLimit {
     const { leftMs } = call.deadline;
     if (call.route.repeatability === Repeatability.Idempotent) {
       return { signal: call.signal, expiry: this.#timer.after(leftMs, call.giveUp) };
@@ -373,10 +387,21 @@
     return this.#fail(FailureKind.Unknown, unknown(reason, failure.detail));
   }
 
-  #releaseAfter(answer: TargetAnswer): Answer {
-    const body = watchBody(answer.body, (end) => {
+  /** The slot is free at the end of the body, or once the target's connection is given up. */
+  #releaseAfter(answer: TargetAnswer, { signal, expiry }: ExecutionLimit): Answer {
+    let isReleased = false;
+    const release = () => {
+      if (isReleased) return;
+      isReleased = true;
+      expiry.cancel();
+      signal.removeEventListener('abort', release);
       this.#gate.leave();
-      if (end === BodyEnd.Cut) this.#health.recordBroken();
+    };
+    signal.addEventListener('abort', release);
+    if (signal.aborted) release();
+    const body = watchBody(answer.body, (end) => {
+      release();
+      if (end === BodyEnd.Cut && !signal.aborted) this.#health.recordBroken();
     });
     const { status, headers } = answer;
     return { status, headers, body, load: this.load };
@@ -388,6 +413,8 @@
       call: call.id,
       attempt: sequence,
       reason: refusal.reason,
+      version: this.#options.version(),
+      decidedAt: call.version,
       inFlight,
       limit,
       queued,
@@ -400,7 +427,8 @@
   }
 
   #fail(kind: FailureKind, refusal: Refusal): AttemptResult {
-    const failure: AttemptFailure = { kind, refusal, load: this.load };
+    const version = this.#options.version();
+    const failure: AttemptFailure = { kind, refusal: { ...refusal, version }, load: this.load };
     return err(failure);
   }
 
