Publish a version that comes under way after the call has left its entry

The cells "under-way" published in the turn of the event loop in which the call was made. A call whose route the entry did not know was refused by version 1, at once, while version 2 came into force in the same turn, so that the judge compared the refusal with a version that was not there when it was made (trace: call-not-admitted version=1, elapsedMs=0). Now the call is on its way first.

--- a/matrix/disagreement_case.ts
+++ b/matrix/disagreement_case.ts
@@ -192,6 +192,8 @@
     this.#world.network.filter = (transit) => this.#filter(transit);
     if (order === Order.EntryNewer || order === Order.GuardsNewer) await this.#holdApart();
     this.#send();
+    // What the entry refuses at once, it refuses by the version before.
+    await timer.advance(DELAY_MS);
     if (order === Order.UnderWay) this.#publish();
     await timer.advance(END_MS);
     return this.#judge();
