Matrix: disagreements with a key's owner, and with one starting daemon among ready ones

A call whose key is owned elsewhere crosses a second link, to the owner, whose version may differ from the entry's; nothing played that. And all targets of a pool lacked a configuration, or none did.

--- a/matrix/disagreement.ts
+++ b/matrix/disagreement.ts
@@ -6,18 +6,20 @@
   type DisagreementCase,
   type DisagreementResult,
 } from './disagreement_case.ts';
-import { Change } from './disagreement_change.ts';
-import { CallType } from './run_case.ts';
+import { Change, DisagreedCall } from './disagreement_change.ts';
 
-const TYPES = [CallType.Idempotent, CallType.Keyless, CallType.Keyed];
 const LAGS: Readonly<Record<Order, readonly Lag[]>> = {
   [Order.EntryNewer]: [Lag.Short, Lag.Long],
   [Order.GuardsNewer]: [Lag.Short, Lag.Long],
   [Order.UnderWay]: [Lag.None],
   [Order.WhileRunning]: [Lag.None],
 };
-/** Changes that concern one side of the link only. */
-const ONE_SIDED = new Set([Change.JustStarted, Change.CutOff]);
+/** Orders of the changes that not all daemons can learn of. */
+const ORDERS: Partial<Record<Change, readonly Order[]>> = {
+  [Change.JustStarted]: [Order.EntryNewer, Order.GuardsNewer],
+  [Change.NearestStarted]: [Order.EntryNewer],
+  [Change.CutOff]: [Order.EntryNewer, Order.GuardsNewer],
+};
 
 /**
  * @param seeds Seeds to play each case with.
@@ -30,10 +32,10 @@
 ): DisagreementCase[] {
   return seeds.flatMap((seed) =>
     changes.flatMap((change) =>
-      ordersOf(change).flatMap((order) =>
+      (ORDERS[change] ?? Object.values(Order)).flatMap((order) =>
         LAGS[order].flatMap((lag) =>
-          TYPES.flatMap((type) =>
-            Object.values(Trouble).map((trouble) => ({ change, order, lag, type, trouble, seed })),
+          Object.values(DisagreedCall).flatMap((type) =>
+            troublesOf(type).map((trouble) => ({ change, order, lag, type, trouble, seed })),
           ),
         ),
       ),
@@ -68,7 +70,7 @@
   }
 }
 
-function ordersOf(change: Change): Order[] {
-  if (ONE_SIDED.has(change)) return [Order.EntryNewer, Order.GuardsNewer];
-  return Object.values(Order);
+/** The troubles are those of the link between the entry and a guard. */
+function troublesOf(type: DisagreedCall): Trouble[] {
+  return type === DisagreedCall.KeyedElsewhere ? [Trouble.None] : Object.values(Trouble);
 }
--- a/matrix/disagreement_case.ts
+++ b/matrix/disagreement_case.ts
@@ -12,13 +12,13 @@
 import { SeededRandom } from '../random/mod.ts';
 import {
   Change,
+  DisagreedCall,
   FRONT_POOL,
   instancesAfter,
   poolOf,
   routeNameOf,
   versionsOf,
 } from './disagreement_change.ts';
-import { CallType } from './run_case.ts';
 
 /** Which side of a link knows of a change that the other does not know of. */
 export enum Order {
@@ -56,7 +56,7 @@
   change: Change;
   order: Order;
   lag: Lag;
-  type: CallType;
+  type: DisagreedCall;
   trouble: Trouble;
   seed: number;
 }
@@ -116,6 +116,9 @@
 const GUARD_DOMAINS = ['centro-a', 'norte-a', 'norte-b'];
 /** The entry stands in a failure domain of its own, so that no daemon near by tells it versions. */
 const ENTRY = { id: FRONT_POOL, pool: FRONT_POOL, failureDomain: 'centro-b' };
+/** Owner of keys among the guards; its target is of the pool that serves no calls under keys. */
+const OTHER_OWNER = 'boards-norte-b';
+const NEAREST_DOMAIN = 'centro-a';
 const MAY_COME_BACK = new Set([408, 421, 429, 503]);
 const DIALECT = new OwnDialect();
 
@@ -188,7 +191,8 @@
   async play(): Promise<DisagreementResult> {
     const { order, type } = this.#case;
     const { timer } = this.#world;
-    if (type === CallType.Keyed) this.#key = await this.#issueKey();
+    if (type === DisagreedCall.Keyed) this.#key = await this.#issueKey(ENTRY.id);
+    if (type === DisagreedCall.KeyedElsewhere) this.#key = await this.#issueKey(OTHER_OWNER);
     this.#world.network.filter = (transit) => this.#filter(transit);
     if (order === Order.EntryNewer || order === Order.GuardsNewer) await this.#holdApart();
     this.#send();
@@ -223,15 +227,15 @@
     return this.#world.runs.get(RUN_ID) ?? 0;
   }
 
-  async #issueKey(): Promise<string | undefined> {
-    const { nextKey } = await this.#world.callNow(ENTRY.id, this.#call);
+  async #issueKey(ownerId: string): Promise<string | undefined> {
+    const { nextKey } = await this.#world.callNow(ownerId, this.#call);
     return nextKey;
   }
 
   get #call(): WorldCall {
     const { type } = this.#case;
-    if (type === CallType.Idempotent) return { target: '/boards/3', runId: RUN_ID };
-    const target = type === CallType.Keyless ? '/entries' : '/results';
+    if (type === DisagreedCall.Idempotent) return { target: '/boards/3', runId: RUN_ID };
+    const target = type === DisagreedCall.Keyless ? '/entries' : '/results';
     return { method: 'POST', target, body: '1-0', runId: RUN_ID };
   }
 
@@ -243,7 +247,7 @@
     this.#releaseMs = timer.now() + SPREAD_MS + lagMs;
     const older = order === Order.EntryNewer ? this.#guards : [this.#entry];
     for (const { instance } of older) withheld.add(instance.id);
-    if (change === Change.JustStarted) this.#restart(older);
+    if (change === Change.JustStarted || change === Change.NearestStarted) this.#restart(older);
     else this.#publish();
     await timer.advance(SPREAD_MS);
     if (change === Change.CutOff) return;
@@ -253,10 +257,12 @@
   }
 
   #restart(members: readonly WorldMember[]): void {
+    const { change, type } = this.#case;
     for (const { instance } of members) {
-      if (instance.pool === poolOf(this.#case.type) || instance.id === ENTRY.id) {
-        this.#world.restartDaemon(instance.id);
-      }
+      const { id, pool, failureDomain } = instance;
+      const isGuard = pool === poolOf(type);
+      const isChosen = change !== Change.NearestStarted || failureDomain === NEAREST_DOMAIN;
+      if (id === ENTRY.id || (isGuard && isChosen)) this.#world.restartDaemon(id);
     }
   }
 
--- a/matrix/disagreement_change.ts
+++ b/matrix/disagreement_change.ts
@@ -1,7 +1,16 @@
 import type { ConfigurationDocument } from '../configuration/mod.ts';
 import { exampleConfiguration } from '../fakes/mod.ts';
 import type { Instance } from '../instance/mod.ts';
-import { CallType } from './run_case.ts';
+
+/** Whether the call of a disagreement case may be executed again. */
+export enum DisagreedCall {
+  Idempotent = 'idempotent',
+  Keyless = 'keyless',
+  /** Under a key that its entry has issued. */
+  Keyed = 'keyed',
+  /** Under a key that a daemon of the other side has issued. */
+  KeyedElsewhere = 'keyed-elsewhere',
+}
 
 /** What two daemons may see differently, since only one of them knows of it. */
 export enum Change {
@@ -27,6 +36,8 @@
   TargetReplaced = 'target-replaced',
   /** One side has no configuration yet. */
   JustStarted = 'just-started',
+  /** The nearest target's daemon has no configuration yet. */
+  NearestStarted = 'nearest-started',
   /** One side gets versions from the other only; the route has moved. */
   CutOff = 'cut-off',
 }
@@ -53,18 +64,18 @@
  * @param type A kind of call.
  * @returns Name of its route.
  */
-export function routeNameOf(type: CallType): string {
-  if (type === CallType.Idempotent) return 'read-board';
-  if (type === CallType.Keyless) return 'post-entry';
-  return type === CallType.Bound ? 'post-norte-result' : 'post-result';
+export function routeNameOf(type: DisagreedCall): string {
+  if (type === DisagreedCall.Idempotent) return 'read-board';
+  if (type === DisagreedCall.Keyless) return 'post-entry';
+  return 'post-result';
 }
 
 /**
  * @param type A kind of call.
  * @returns Name of the pool that serves it before a change.
  */
-export function poolOf(type: CallType): string {
-  return type === CallType.Idempotent ? 'boards' : 'results';
+export function poolOf(type: DisagreedCall): string {
+  return type === DisagreedCall.Idempotent ? 'boards' : 'results';
 }
 
 /**
@@ -72,7 +83,7 @@
  * @param type Kind of the call that it concerns.
  * @returns The versions before and after it.
  */
-export function versionsOf(change: Change, type: CallType): Versions {
+export function versionsOf(change: Change, type: DisagreedCall): Versions {
   const before = withFront(exampleConfiguration());
   const after = withFront(exampleConfiguration({ version: 2 }));
   const name = routeNameOf(type);
@@ -122,6 +133,7 @@
     case Change.TargetRelisted:
     case Change.TargetReplaced:
     case Change.JustStarted:
+    case Change.NearestStarted:
       return { before, after: before };
   }
 }
