Judge cells of versions that differ apart from playing them

matrix/disagreement_case.ts had two jobs in 457 lines: it played a case and judged it. It now holds the case only; disagreement_run.ts plays it and disagreement_judge.ts judges frames sent, runs and the end.

--- a/matrix/disagreement.ts
+++ b/matrix/disagreement.ts
@@ -1,20 +1,15 @@
-import {
-  Lag,
-  Order,
-  Trouble,
-  runDisagreementCase,
-  type DisagreementCase,
-  type DisagreementResult,
-} from './disagreement_case.ts';
+import { Lag, Order, Trouble, type DisagreementCase } from './disagreement_case.ts';
 import { Change, DisagreedCall } from './disagreement_change.ts';
+import { runDisagreementCase, type DisagreementResult } from './disagreement_run.ts';
 
+/** Lags that make sense in an order; there is none where all learn of the change at once. */
 const LAGS: Readonly<Record<Order, readonly Lag[]>> = {
   [Order.EntryNewer]: [Lag.Short, Lag.Long],
   [Order.GuardsNewer]: [Lag.Short, Lag.Long],
   [Order.UnderWay]: [Lag.None],
   [Order.WhileRunning]: [Lag.None],
 };
-/** Orders of the changes that not all daemons can learn of. */
+/** Orders of the changes that need one side to be behind; the others come in all orders. */
 const ORDERS: Partial<Record<Change, readonly Order[]>> = {
   [Change.JustStarted]: [Order.EntryNewer, Order.GuardsNewer],
   [Change.NearestStarted]: [Order.EntryNewer],
@@ -56,11 +51,12 @@
  * Plays cases one after the other.
  *
  * @param cases The cases.
- * @param onEnd Called with the end of each, and with what it broke.
+ * @param onEnd Called with each case, how it ended, and the names and counts of its violations;
+ * without the last if there were none.
  */
 export async function playDisagreements(
   cases: readonly DisagreementCase[],
-  onEnd: (each: DisagreementCase, result: DisagreementResult, broken: string | undefined) => void,
+  onEnd: (each: DisagreementCase, result: DisagreementResult, findings: string | undefined) => void,
 ): Promise<void> {
   for (const each of cases) {
     const result = await runDisagreementCase(each);
@@ -70,7 +66,7 @@
   }
 }
 
-/** The troubles are those of the link between the entry and a guard. */
+/** Troubles concern the link between entry and guard; the owner of a key sends attempts itself. */
 function troublesOf(type: DisagreedCall): Trouble[] {
   return type === DisagreedCall.KeyedElsewhere ? [Trouble.None] : Object.values(Trouble);
 }
--- a/matrix/disagreement_change.ts
+++ b/matrix/disagreement_change.ts
@@ -1,10 +1,11 @@
 import type { ConfigurationDocument } from '../configuration/mod.ts';
-import { exampleConfiguration } from '../fakes/mod.ts';
+import { exampleConfiguration, type WorldCall } from '../fakes/mod.ts';
 import type { Instance } from '../instance/mod.ts';
 
-/** Whether the call of a disagreement case may be executed again. */
+/** Whether the call of a disagreement case may be executed again, and who issued its key. */
 export enum DisagreedCall {
   Idempotent = 'idempotent',
+  /** Runs at most once, and its caller cannot ask again. */
   Keyless = 'keyless',
   /** Under a key that its entry has issued. */
   Keyed = 'keyed',
@@ -12,12 +13,12 @@
   KeyedElsewhere = 'keyed-elsewhere',
 }
 
-/** What two daemons may see differently, since only one of them knows of it. */
+/** A change that one daemon has learned of and another has not. */
 export enum Change {
   RouteAdded = 'route-added',
   RouteDropped = 'route-dropped',
   RouteMoved = 'route-moved',
-  /** The route is repeatable in one version and runs at most once in the other. */
+  /** The route's calls are idempotent in one version and run at most once in the other. */
   KindChanged = 'kind-changed',
   /** Only the entry's own region remains a home region. */
   HomesNarrowed = 'homes-narrowed',
@@ -25,10 +26,15 @@
   HomesMoved = 'homes-moved',
   PriorityChanged = 'priority-changed',
   TimeoutShortened = 'timeout-shortened',
+  /** Nearly all calls go to one of two pools, and after the change to the other. */
   SharesChanged = 'shares-changed',
+  /** The pool that gets nearly all calls no longer serves the route. */
   ShareDropped = 'share-dropped',
+  /** The pool is gone, and its routes have moved. */
   PoolDropped = 'pool-dropped',
+  /** The failure domain of the nearest guard is taken out. */
   DomainOut = 'domain-out',
+  /** The failure domain of the nearest guard is put back in. */
   DomainIn = 'domain-in',
   /** The instance list names instances at the same addresses under another pool. */
   TargetRelisted = 'target-relisted',
@@ -52,13 +58,19 @@
 
 /** Pool of the daemon that callers use; no route of it is called. */
 export const FRONT_POOL = 'front';
-const DOMAIN = 'centro-a';
+/** Failure domain of the nearest guard, which is taken out or put back in. */
+const MOVED_DOMAIN = 'centro-a';
 const ENTRY_REGION = 'ar-centro';
 const OTHER_REGION = 'ar-norte';
+/** Less than the call's deadline, in milliseconds. */
 const SHORT_TIMEOUT_MS = 1_200;
-/** Domains whose targets the instance list takes for others. */
-const REPLACED_DOMAINS = ['centro-a', 'norte-a'];
-const MOST = 999;
+/** Domains whose entries in the instance list change; one in each region. */
+const RELISTED_DOMAINS = ['centro-a', 'norte-a'];
+const TOTAL_SHARE = 1_000;
+/** Share of a pool that gets nearly all calls. */
+const MOST = TOTAL_SHARE - 1;
+/** Weight of a route whose priority has changed; 1 is the default. */
+const CHANGED_WEIGHT = 5;
 
 /**
  * @param type A kind of call.
@@ -78,6 +90,16 @@
   return type === DisagreedCall.Idempotent ? 'boards' : 'results';
 }
 
+/**
+ * @param type A kind of call.
+ * @returns Its request.
+ */
+export function requestOf(type: DisagreedCall): Pick<WorldCall, 'method' | 'target' | 'body'> {
+  if (type === DisagreedCall.Idempotent) return { target: '/boards/3' };
+  const target = type === DisagreedCall.Keyless ? '/entries' : '/results';
+  return { method: 'POST', target, body: '1-0' };
+}
+
 /**
  * @param change A change.
  * @param type Kind of the call that it concerns.
@@ -91,10 +113,10 @@
     editRoutes(document, (route) => (route.name === name ? how(route) : route));
   const own = poolOf(type);
   const other = otherPoolOf(own);
-  const split = (weight: number) => (route: RouteDocument) =>
+  const split = (share: number) => (route: RouteDocument) =>
     withShares(route, [
-      { pool: own, weight },
-      { pool: other, weight: MOST + 1 - weight },
+      { pool: own, weight: share },
+      { pool: other, weight: TOTAL_SHARE - share },
     ]);
   switch (change) {
     case Change.RouteAdded:
@@ -105,20 +127,20 @@
     case Change.CutOff:
       return { before, after: edit(after, (route) => withPool(route, other)) };
     case Change.KindChanged:
-      return { before, after: edit(after, withOtherKind) };
+      return { before, after: edit(after, withOtherRepeatability) };
     case Change.HomesNarrowed:
       return { before, after: edit(after, withHomes(ENTRY_REGION)) };
     case Change.HomesMoved:
       return { before, after: edit(after, withHomes(OTHER_REGION)) };
     case Change.PriorityChanged:
-      return { before, after: edit(after, (route) => ({ ...route, weight: 5 })) };
+      return { before, after: edit(after, (route) => ({ ...route, weight: CHANGED_WEIGHT })) };
     case Change.TimeoutShortened:
       return {
         before,
         after: edit(after, (route) => ({ ...route, timeoutMs: SHORT_TIMEOUT_MS })),
       };
     case Change.SharesChanged:
-      return { before: edit(before, split(MOST)), after: edit(after, split(1)) };
+      return { before: edit(before, split(MOST)), after: edit(after, split(TOTAL_SHARE - MOST)) };
     case Change.ShareDropped:
       return {
         before: edit(before, split(MOST)),
@@ -127,9 +149,12 @@
     case Change.PoolDropped:
       return { before, after: dropPool(after, own) };
     case Change.DomainOut:
-      return { before, after: withFront(exampleConfiguration({ version: 2, out: [DOMAIN] })) };
+      return {
+        before,
+        after: withFront(exampleConfiguration({ version: 2, out: [MOVED_DOMAIN] })),
+      };
     case Change.DomainIn:
-      return { before: withFront(exampleConfiguration({ out: [DOMAIN] })), after };
+      return { before: withFront(exampleConfiguration({ out: [MOVED_DOMAIN] })), after };
     case Change.TargetRelisted:
     case Change.TargetReplaced:
     case Change.JustStarted:
@@ -151,7 +176,7 @@
   const isReplaced = change === Change.TargetReplaced;
   return instances.map((instance) => {
     const { id, pool, failureDomain } = instance;
-    if (!REPLACED_DOMAINS.includes(failureDomain)) return instance;
+    if (!RELISTED_DOMAINS.includes(failureDomain)) return instance;
     const targetId = `${id}/2`;
     return { ...instance, id: isReplaced ? `${id}-2` : id, targetId, pool: otherPoolOf(pool) };
   });
@@ -202,6 +227,6 @@
   return (route) => ({ ...route, homeRegions: [region] });
 }
 
-function withOtherKind(route: RouteDocument): RouteDocument {
+function withOtherRepeatability(route: RouteDocument): RouteDocument {
   return { ...route, idempotent: !route.idempotent, issuedKeys: false };
 }
--- /dev/null
+++ b/matrix/disagreement_run.ts
@@ -0,0 +1,293 @@
+import { WayState, World, type FrameInTransit, type WorldMember } from '../fakes/mod.ts';
+import { FrameKind } from '../link/mod.ts';
+import { SeededRandom } from '../random/mod.ts';
+import { Lag, Order, Trouble, type DisagreementCase } from './disagreement_case.ts';
+import {
+  Change,
+  DisagreedCall,
+  FRONT_POOL,
+  instancesAfter,
+  poolOf,
+  requestOf,
+  versionsOf,
+} from './disagreement_change.ts';
+import {
+  DisagreementJudge,
+  describeEnd,
+  type CallEnd,
+  type DisagreementViolations,
+} from './disagreement_judge.ts';
+
+/** How a case ended. */
+export interface DisagreementResult {
+  /** What the caller got. */
+  end: string;
+  runs: number;
+  violations: DisagreementViolations;
+  /** Configuration versions that frames carried, then the daemons' lines about the call. */
+  trace: string[];
+}
+
+/** One-way delay of each link, in milliseconds. */
+const DELAY_MS = 2;
+/** Span of moments at which a case begins, in milliseconds. */
+const START_SPAN_MS = 2_000;
+/** Time that a target takes for the call, in milliseconds. */
+const SERVICE_MS = 20;
+/** The same where the change comes while the target runs the call, in milliseconds. */
+const LONG_SERVICE_MS = 400;
+/** Time that the caller gives the call, in milliseconds. */
+const DEADLINE_MS = 1_500;
+/** Time for the newer side to learn of the change, in milliseconds. */
+const SPREAD_MS = 500;
+/** Lag that leaves the call time once both sides agree, in milliseconds. */
+const SHORT_LAG_MS = 300;
+/** Lag that outlasts the call's deadline, in milliseconds. */
+const LONG_LAG_MS = 2_500;
+/** Delay of the copy of a doubled frame, in milliseconds. */
+const COPY_DELAY_MS = 700;
+/** Delay of a frame during which all learn of the change, in milliseconds. */
+const UNDER_WAY_MS = 400;
+/** Time from the start of a long run to {@linkcode Trouble.LinkCut}, in milliseconds. */
+const LINK_CUT_AFTER_MS = 300;
+/** Longer than the call's deadline, in milliseconds. */
+const LINK_CUT_MS = 3_000;
+/** Time from the first frame's arrival to {@linkcode Trouble.CallCut}, in milliseconds. */
+const CALL_CUT_AFTER_MS = 60;
+/** Much shorter than the call's deadline, in milliseconds. */
+const CALL_CUT_MS = 100;
+/** Time that a case goes on after the call was made, so that late runs are seen, in milliseconds. */
+const END_MS = 7_000;
+const RUN_ID = 'case';
+const GUARD_DOMAINS = ['centro-a', 'norte-a', 'norte-b'];
+/** The entry stands in a failure domain of its own, so that no daemon near by tells it versions. */
+const ENTRY = { id: FRONT_POOL, pool: FRONT_POOL, failureDomain: 'centro-b' };
+/** Owner of keys among the guards; its target is of the pool that serves no calls under keys. */
+const OTHER_OWNER = 'boards-norte-b';
+/** Guard domain in the entry's region. */
+const NEAREST_DOMAIN = 'centro-a';
+
+/**
+ * Makes a call while its entry and the guards know different versions, and
+ * judges by what the caller and the targets saw.
+ *
+ * @param each The case.
+ * @returns How it ended.
+ */
+export async function runDisagreementCase(each: DisagreementCase): Promise<DisagreementResult> {
+  const run = await DisagreementRun.start(each);
+  return run.play();
+}
+
+class DisagreementRun {
+  readonly #case: DisagreementCase;
+  readonly #world: World;
+  readonly #judge: DisagreementJudge;
+  readonly #versions: string[] = [];
+  #key: string | undefined;
+  #end: CallEnd | undefined;
+  #callFrames = 0;
+  /** When both sides know of the change. */
+  #releaseMs = 0;
+
+  private constructor(each: DisagreementCase, world: World) {
+    this.#case = each;
+    this.#world = world;
+    this.#judge = new DisagreementJudge(each);
+  }
+
+  static async start(each: DisagreementCase): Promise<DisagreementRun> {
+    const placings = ['boards', 'results'].flatMap((pool) =>
+      GUARD_DOMAINS.map((failureDomain) => ({ pool, failureDomain })),
+    );
+    const isLong = each.order === Order.WhileRunning;
+    const started: { run?: DisagreementRun } = {};
+    const world = await World.start({
+      configuration: versionsOf(each.change, each.type).before,
+      placings: [ENTRY, ...placings],
+      delayMs: () => DELAY_MS,
+      serviceMs: () => (isLong ? LONG_SERVICE_MS : SERVICE_MS),
+      onRun: (_, id) => started.run?.onRun(id),
+    });
+    await world.timer.advance(new SeededRandom(each.seed).below(START_SPAN_MS));
+    started.run = new DisagreementRun(each, world);
+    return started.run;
+  }
+
+  async play(): Promise<DisagreementResult> {
+    const { order, type } = this.#case;
+    const { timer } = this.#world;
+    if (type === DisagreedCall.Keyed) this.#key = await this.#issueKey(ENTRY.id);
+    if (type === DisagreedCall.KeyedElsewhere) this.#key = await this.#issueKey(OTHER_OWNER);
+    this.#world.network.filter = (transit) => this.#filter(transit);
+    if (order === Order.EntryNewer || order === Order.GuardsNewer) await this.#holdApart();
+    this.#send();
+    // What the entry refuses at once, it refuses by the version before.
+    await timer.advance(DELAY_MS);
+    if (order === Order.UnderWay) this.#publish();
+    await timer.advance(END_MS);
+    return this.#conclude();
+  }
+
+  /** Judges a run and causes what a case sets off by its first one. */
+  onRun(id: string): void {
+    const executor = this.#world.member(id);
+    this.#judge.noteRun(executor);
+    const isFirst = this.#runs === 1;
+    if (isFirst && this.#case.order === Order.WhileRunning) this.#publish();
+    if (isFirst && this.#case.trouble === Trouble.LinkCut) {
+      const isLong = this.#case.order === Order.WhileRunning;
+      this.#cut(executor.instance.peerAddress, isLong ? LINK_CUT_AFTER_MS : 0, LINK_CUT_MS);
+    }
+  }
+
+  get #entry(): WorldMember {
+    return this.#world.member(ENTRY.id);
+  }
+
+  get #guards(): WorldMember[] {
+    return this.#world.members.filter(({ instance }) => instance.id !== ENTRY.id);
+  }
+
+  get #runs(): number {
+    return this.#world.runs.get(RUN_ID) ?? 0;
+  }
+
+  /** A call without a key is refused, and its refusal brings a key to send it again under. */
+  async #issueKey(ownerId: string): Promise<string | undefined> {
+    const request = requestOf(this.#case.type);
+    const { nextKey } = await this.#world.callNow(ownerId, { ...request, runId: RUN_ID });
+    return nextKey;
+  }
+
+  get #call() {
+    const request = requestOf(this.#case.type);
+    return { ...request, runId: RUN_ID, key: this.#key, deadlineMs: DEADLINE_MS };
+  }
+
+  /** Has one side learn of the change while the other learns nothing. */
+  async #holdApart(): Promise<void> {
+    const { change, order, lag } = this.#case;
+    const { timer, withheld } = this.#world;
+    const lagMs = lag === Lag.Short ? SHORT_LAG_MS : LONG_LAG_MS;
+    this.#releaseMs = timer.now() + SPREAD_MS + lagMs;
+    const older = order === Order.EntryNewer ? this.#guards : [this.#entry];
+    for (const { instance } of older) withheld.add(instance.id);
+    if (change === Change.JustStarted || change === Change.NearestStarted) this.#restart(older);
+    else this.#publish();
+    await timer.advance(SPREAD_MS);
+    // The older side never hears from the platform again, only from the other side.
+    if (change === Change.CutOff) return;
+    timer.after(lagMs, () => {
+      withheld.clear();
+    });
+  }
+
+  /** Leaves daemons from which documents are withheld without any configuration. */
+  #restart(members: readonly WorldMember[]): void {
+    const { change, type } = this.#case;
+    for (const { instance } of members) {
+      const { id, pool, failureDomain } = instance;
+      const isGuard = pool === poolOf(type);
+      const isChosen = change !== Change.NearestStarted || failureDomain === NEAREST_DOMAIN;
+      if (id === ENTRY.id || (isGuard && isChosen)) this.#world.restartDaemon(id);
+    }
+  }
+
+  /** Makes the change; every daemon that nothing is withheld from learns of it. */
+  #publish(): void {
+    const { change, type } = this.#case;
+    const { platform, members } = this.#world;
+    const { before, after } = versionsOf(change, type);
+    if (after !== before) platform.publish(after);
+    const listed = instancesAfter(
+      change,
+      members.map(({ instance }) => instance),
+    );
+    if (listed) platform.list(listed);
+  }
+
+  #send(): void {
+    const startMs = this.#world.timer.now();
+    this.#judge.noteAdmission(this.#entry.daemon.configuration);
+    void this.#world.call(ENTRY.id, this.#call).then((result) => {
+      const elapsedMs = this.#world.timer.now() - startMs;
+      const entryConfiguration = this.#entry.daemon.configuration;
+      this.#end = { result, elapsedMs, entryConfiguration };
+    });
+  }
+
+  /** Withholds documents from the older side and causes the trouble of the case. */
+  #filter(transit: FrameInTransit): { frame: FrameInTransit['frame']; delayMs: number }[] {
+    const { frame } = transit;
+    this.#traceVersion(transit);
+    if (frame.kind === FrameKind.Document) {
+      return [{ frame, delayMs: this.#isWithheldFrom(transit) ? this.#untilReleaseMs : 0 }];
+    }
+    if (frame.kind !== FrameKind.Call) return [{ frame, delayMs: 0 }];
+    this.#callFrames += 1;
+    this.#judge.noteSent(this.#memberAt(transit.from), this.#memberAt(transit.to));
+    const isFirst = this.#callFrames === 1;
+    const delayMs = isFirst && this.#case.order === Order.UnderWay ? UNDER_WAY_MS : 0;
+    const sent = [{ frame, delayMs }];
+    if (isFirst && this.#case.trouble === Trouble.CallCut) {
+      this.#cut(transit.to, delayMs + CALL_CUT_AFTER_MS, CALL_CUT_MS);
+    }
+    const isDoubled = isFirst && this.#case.trouble === Trouble.CallDoubled;
+    if (isDoubled) sent.push({ frame, delayMs: delayMs + COPY_DELAY_MS });
+    return sent;
+  }
+
+  #traceVersion({ frame, from, to }: FrameInTransit): void {
+    if (!('version' in frame)) return;
+    const text = `${from} to ${to}: ${FrameKind[frame.kind]} version=${frame.version}`;
+    this.#versions.push(`${this.#world.timer.now()} ms ${text}`);
+  }
+
+  /** Daemons also pass documents on to each other, which the platform's withholding does not stop. */
+  #isWithheldFrom({ from, to }: FrameInTransit): boolean {
+    const entry = this.#entry.instance.peerAddress;
+    const isBetweenSides = from === entry || to === entry;
+    if (this.#case.change === Change.CutOff && isBetweenSides) return false;
+    const receiver = this.#memberAt(to);
+    return receiver !== undefined && this.#world.withheld.has(receiver.instance.id);
+  }
+
+  get #untilReleaseMs(): number {
+    return Math.max(0, this.#releaseMs - this.#world.timer.now());
+  }
+
+  #memberAt(address: string): WorldMember | undefined {
+    return this.#world.members.find(({ instance }) => instance.peerAddress === address);
+  }
+
+  /** Breaks the link between the entry and an executor for a time. */
+  #cut(executor: string, afterMs: number, durationMs: number): void {
+    const { network, timer } = this.#world;
+    const entry = this.#entry.instance.peerAddress;
+    timer.after(afterMs, () => {
+      network.setWay(entry, executor, WayState.Cut);
+      timer.after(durationMs, () => {
+        network.setWay(entry, executor, WayState.Up);
+      });
+    });
+  }
+
+  #conclude(): DisagreementResult {
+    const violations = this.#judge.verdict({
+      call: this.#call,
+      entryDomain: ENTRY.failureDomain,
+      end: this.#end,
+      runs: this.#runs,
+      known: this.#world.members.map(({ daemon }) => daemon.configuration),
+    });
+    return { end: describeEnd(this.#end), runs: this.#runs, violations, trace: this.#trace() };
+  }
+
+  #trace(): string[] {
+    const lines = this.#world.members.flatMap(({ instance, log }) =>
+      log.lines().map((line) => `${instance.id} ${line}`),
+    );
+    return [...this.#versions, ...lines.filter((line) => line.includes(' call='))];
+  }
+}
--- a/matrix/mod.ts
+++ b/matrix/mod.ts
@@ -7,6 +7,8 @@
 export * from './disagreement.ts';
 export * from './disagreement_case.ts';
 export * from './disagreement_change.ts';
+export * from './disagreement_judge.ts';
+export * from './disagreement_run.ts';
 export * from './fault.ts';
 export * from './matrix.ts';
 export * from './run_case.ts';
--- a/matrix/suite.ts
+++ b/matrix/suite.ts
@@ -1,7 +1,7 @@
 import { formatTable } from '../cli/output.ts';
 import { SpreadFault, SpreadStep, runSpreadCase } from './configuration_case.ts';
 import { disagreementName, listDisagreements, playDisagreements } from './disagreement.ts';
-import type { DisagreementResult } from './disagreement_case.ts';
+import type { DisagreementResult } from './disagreement_run.ts';
 import { caseName, isBroken, listCases, playCases, type Cell } from './matrix.ts';
 import { runCase } from './run_case.ts';
 
@@ -48,12 +48,17 @@
   }
 
   async play({ seeds, only }: SuiteSelection): Promise<SuiteReport> {
+    // The name of a pair of faults joins both with a plus sign.
     const pairs = this.#hasPairs || (only?.includes('+') ?? false);
     const cases = listCases({ seeds, pairs }).filter((each) => isChosen(caseName(each), only));
     const broken: BrokenCase[] = [];
     if (only !== undefined) return this.#replay(cases);
     const cells = await playCases(cases, (each, violations) => {
-      broken.push({ name: caseName(each), seed: each.seed, findings: describe(violations) });
+      broken.push({
+        name: caseName(each),
+        seed: each.seed,
+        findings: describeViolations(violations),
+      });
     });
     return { cases: cases.length, broken, text: tableOf(cells) };
   }
@@ -64,7 +69,7 @@
     for (const each of cases) {
       const name = caseName(each);
       const { outcomes, texts, violations } = await runCase(each);
-      const findings = describe(violations);
+      const findings = describeViolations(violations);
       lines.push(`${name} seed ${each.seed}`);
       lines.push(...texts.map((text, index) => `  ${outcomes[index] ?? ''}: ${text}`));
       lines.push(`  ${findings}`);
@@ -98,7 +103,7 @@
   }
 }
 
-/** An entry and guards that know different versions. */
+/** Calls whose entry and guards know different versions of the configuration or instance list. */
 export class DisagreementSuite implements Suite {
   readonly name = 'disagreements';
 
@@ -110,7 +115,7 @@
     await playDisagreements(cases, (each, result, findings) => {
       const name = disagreementName(each);
       ends.set(result.end, (ends.get(result.end) ?? 0) + 1);
-      if (only !== undefined) lines.push(...inFull(`${name} seed ${each.seed}`, result));
+      if (only !== undefined) lines.push(...describeResult(`${name} seed ${each.seed}`, result));
       if (findings) broken.push({ name, seed: each.seed, findings });
     });
     const rows = [...ends].map(([end, count]) => [end, String(count)]);
@@ -123,11 +128,11 @@
   return only === undefined || name === only;
 }
 
-function inFull(name: string, { end, runs, trace }: DisagreementResult): string[] {
+function describeResult(name: string, { end, runs, trace }: DisagreementResult): string[] {
   return [name, ...trace.map((line) => `  ${line}`), `  ${end} runs=${runs}`];
 }
 
-function describe(violations: object): string {
+function describeViolations(violations: object): string {
   return Object.entries(violations)
     .map(([name, count]) => `${name}=${String(count)}`)
     .join(' ');
