Say what the variables of the disagreement model and a withheld source stand for

The model's flags, counters, clauses and lemmas had names only, and the source did not say why it answers "nothing newer". Comments only; the model checker ends "proved", with every mutant of the disagreement found.

--- a/fakes/withheld_source.ts
+++ b/fakes/withheld_source.ts
@@ -6,7 +6,10 @@
   SourceError,
 } from '../configuration/mod.ts';
 
-/** The platform as one daemon sees it; for a time it shows this daemon nothing new. */
+/**
+ * The platform as one daemon sees it. While documents are withheld, each read answers that there is
+ * none newer, as a healthy but outdated platform would, so that the daemon does not take it for lost.
+ */
 export class WithheldSource implements DocumentSource {
   readonly isLinearizable: boolean;
   readonly #source: DocumentSource;
@@ -14,7 +17,7 @@
 
   /**
    * @param source The platform.
-   * @param isWithheld Whether it shows nothing new now.
+   * @param isWithheld Whether documents are withheld from the daemon now.
    */
   constructor(source: DocumentSource, isWithheld: () => boolean) {
     this.isLinearizable = source.isLinearizable;
--- a/spec/disagreement.ts
+++ b/spec/disagreement.ts
@@ -1,12 +1,14 @@
 import type { Arith, Bool, Expr } from 'z3-solver';
 import { Sort, type Action, type Changes, type State, type System, type Z3 } from './system.ts';
 
-/** Stage of the entry that owns the call. */
+/** Stage of the call at its entry, which makes at most two attempts, one at each guard. */
 enum Stage {
   Idle = 0,
+  /** The first attempt was sent. */
   Waiting1 = 1,
   /** The first attempt's answer was lost; it may have run. */
   Lost1 = 2,
+  /** The second attempt was sent. */
   Waiting2 = 3,
   Answered = 4,
   NotRun = 5,
@@ -21,9 +23,9 @@
   GuardChecksHomes = 'guard-checks-homes',
   /** A guard runs nothing that its pool does not serve at its own version. */
   GuardChecksPool = 'guard-checks-pool',
-  /** A guard whose newer version lets a call run once only refuses one that may be repeated. */
+  /** A guard refuses an attempt sent as repeatable if its newer version lets the call run once only. */
   GuardChecksKind = 'guard-checks-kind',
-  /** An attempt carries its kind, so that a guard records it whatever its own version says. */
+  /** An attempt says whether it may be repeated; its guard records it by that, not by its own version. */
   AttemptCarriesKind = 'attempt-carries-kind',
   /** An attempt that was refused, or fenced while it waited for a version, never runs. */
   RefusalIsFinal = 'refusal-is-final',
@@ -45,21 +47,39 @@
 const GUARDS = ['1', '2'] as const;
 type GuardName = (typeof GUARDS)[number];
 
-/** What a version says; no action changes it. */
+/**
+ * What a version says: that the route exists and its calls run at most once, and of each guard that
+ * its pool serves the route and its region is a home region. No action changes it.
+ */
 const CLAUSES = ['exists', 'once', 'serves1', 'serves2', 'home1', 'home2'] as const;
 type Clause = (typeof CLAUSES)[number];
 
 const FLAGS = [
   'refused1',
   'refused2',
+  /** The first guard refused by its version, which says otherwise than the entry's. */
   'differs1',
   /** The second attempt was made since the first was refused. */
   'wentOn',
+  /** A guard ran the call under a version, not older than the attempt's, that lets it run once only. */
   'forbidden',
+  /** An attempt was sent or run outside the home regions. */
   'leaked',
+  /** A guard ran a call that its pool does not serve. */
   'misplaced',
 ] as const;
-const COUNTERS = ['decided1', 'decided2', 'refusedBy1', 'runs1', 'runs2', 'blamedBy'] as const;
+const COUNTERS = [
+  /** Version by which an attempt was sent; 0 if it was not. */
+  'decided1',
+  'decided2',
+  /** Version of the first guard when it refused. */
+  'refusedBy1',
+  'runs1',
+  'runs2',
+  /** Version of the entry by which the request was called wrong; 0 if it was not. */
+  'blamedBy',
+] as const;
+/** The daemons, each with the version that it holds. */
 const HOLDERS = ['entry', 'guard1', 'guard2'] as const;
 
 function variables(): Record<string, Sort> {
@@ -71,7 +91,7 @@
   ]);
 }
 
-/** A state by the names of its parts. */
+/** Reads the variables of a state by their names. */
 class View {
   readonly #z3: Z3;
   readonly #state: State;
@@ -101,11 +121,12 @@
     return z3.Or(...VERSIONS.map(saidBy));
   }
 
+  /** Whether the attempt at a guard was made. */
   isSent(guard: GuardName): Bool<'spec'> {
     return this.number(`decided${guard}`).ge(1);
   }
 
-  /** Whether an attempt runs at most once, as it was decided. */
+  /** Whether the attempt at a guard was sent as one that runs at most once. */
   isOnce(guard: GuardName): Bool<'spec'> {
     return this.says(this.number(`decided${guard}`), 'once');
   }
@@ -125,6 +146,7 @@
   ];
 }
 
+/** A guard runs or refuses its attempt, at any moment after it was sent. */
 function guardActions(
   z3: Z3,
   view: View,
@@ -145,10 +167,12 @@
   );
   const isNew = z3.And(view.isSent(name), view.number(`runs${name}`).eq(0));
   const isOpen = z3.Not(view.flag(`refused${name}`));
+  // A guard that takes the call for repeatable keeps no record, so the attempt may run once refused.
   const isUnrecorded = removed.has(DisagreementRule.AttemptCarriesKind)
     ? z3.Not(isOnceHere)
     : z3.Bool.val(false);
   const mayStart = keep(DisagreementRule.RefusalIsFinal, z3.Or(isOpen, isUnrecorded));
+  // The version of the second guard matters to no later attempt.
   const told: Changes = name === '1' ? { differs1: z3.Not(accepts), refusedBy1: version } : {};
   return [
     {
@@ -170,7 +194,7 @@
   ];
 }
 
-/** Sends an attempt by what a version says; the guard must be a permitted one of the route. */
+/** Sends an attempt, if a version has the route and permits it to go to the guard. */
 function sendBy(
   z3: Z3,
   view: View,
@@ -188,6 +212,7 @@
   };
 }
 
+/** The second attempt: after a refusal that proves the first has not run, or after a lost answer. */
 function retryActions(z3: Z3, view: View, removed: ReadonlySet<string>): Action[] {
   const yes = z3.Bool.val(true);
   const [entry, decided] = [view.number('entry'), view.number('decided1')];
@@ -215,6 +240,7 @@
   return z3.Implies(view.flag('differs1'), view.number('entry').ge(view.number('refusedBy1')));
 }
 
+/** What the caller may be told, and the loss of the first attempt's link. */
 function endActions(z3: Z3, view: View, removed: ReadonlySet<string>): Action[] {
   const to = (stage: Stage) => ({ stage: z3.Int.val(stage) });
   const entry = view.number('entry');
@@ -272,6 +298,7 @@
   return z3.Or(view.flag('forbidden'), view.isOnce('1'), view.isOnce('2'));
 }
 
+/** Each variable stays in its range, and no version is used before it is published. */
 function rangeLemmas(z3: Z3, view: View): Bool<'spec'>[] {
   const published = view.number('published');
   return [
@@ -285,6 +312,7 @@
   ];
 }
 
+/** An attempt runs once at most, only after it was sent, and not if it was refused. */
 function attemptLemmas(z3: Z3, view: View, name: GuardName): Bool<'spec'>[] {
   const runs = view.number(`runs${name}`);
   const refused = view.flag(`refused${name}`);
@@ -295,6 +323,7 @@
   ];
 }
 
+/** What the stage tells of the attempts. */
 function stageLemmas(z3: Z3, view: View): Bool<'spec'>[] {
   const [first, second] = [view.isSent('1'), view.isSent('2')];
   const isRepeatable = z3.Not(z3.Or(view.isOnce('1'), view.isOnce('2')));
