--- a/daemon/promises_test.ts
+++ b/daemon/promises_test.ts
@@ -243,3 +243,34 @@
   seen.push(`later ${describe(await world.callNow('results-centro-a', { target: '/halls/9' }))}`);
   t.matchSnapshot(seen, 'rounds');
 });
+
+void t.test(
+  'a key that was handed on is found while its issuer starts without a configuration',
+  async (t) => {
+    const world = await startWorld();
+    const key = await issueKey(world, 'boards-centro-a');
+    await world.callNow('boards-centro-a', { ...resultCall, key });
+    await world.until(world.member('boards-centro-a').daemon.drain());
+    world.stopDaemon('boards-centro-a');
+    const before = await world.callNow('boards-norte-a', { ...resultCall, key });
+    world.platform.setState(ServiceState.Down);
+    world.restartDaemon('boards-centro-a');
+    await world.timer.advance(200);
+    const resend = await world.callNow('boards-norte-a', { ...resultCall, key });
+    t.matchSnapshot([before, resend].map(describe).concat(runsOf(world)), 'ends');
+  },
+);
+
+void t.test(
+  'a key that was issued is not called invalid after its route got home regions',
+  async (t) => {
+    const world = await startWorld();
+    const key = await issueKey(world, 'boards-centro-a');
+    const example = exampleConfiguration({ version: 2 });
+    const workspaces = example.workspaces.map((each) => ({ ...each, homeRegions: ['ar-norte'] }));
+    world.platform.publish({ ...example, workspaces });
+    await world.timer.advance(500);
+    const resend = await world.callNow('boards-norte-a', { ...resultCall, key });
+    t.matchSnapshot(describe(resend), 'end');
+  },
+);
--- a/entry/course_test.ts
+++ b/entry/course_test.ts
@@ -1,7 +1,5 @@
 import t from 'tap';
 import {
-  Deadline,
-  EMPTY_BODY,
   FailureKind,
   RefusalReason,
   Repeatability,
@@ -12,53 +10,16 @@
   withNewerRules,
   type AttemptFailure,
   type Call,
-  type Route,
 } from '../contract/mod.ts';
-import { HomeRegions } from '../failure_domain/mod.ts';
+import { exampleCall, exampleRoute } from '../fakes/mod.ts';
 import { LifeStage, type Instance } from '../instance/mod.ts';
 import { VirtualTimer } from '../timer/mod.ts';
 import { Course } from './course.ts';
 
 const budget = new RetryBudget(100, { burst: () => 10 });
 
-function routeOf(repeatability: Repeatability): Route {
-  return {
-    name: 'read-board',
-    workspace: 'plata',
-    methods: undefined,
-    path: '/boards',
-    pools: [{ pool: 'boards', weight: 1 }],
-    repeatability,
-    homeRegions: HomeRegions.ANYWHERE,
-    weight: 1,
-    timeoutMs: 1_000,
-    objectiveMs: 500,
-    maxAttempts: 3,
-    bodyLimitBytes: 1_000,
-    quarantine: false,
-    hedge: false,
-  };
-}
-
-function callOf(route: Route): Call {
-  const timer = new VirtualTimer();
-  return {
-    id: 'call-1',
-    route,
-    pool: 'boards',
-    version: 1,
-    callerPool: 'halls',
-    method: 'GET',
-    target: '/boards/3',
-    headers: [],
-    body: EMPTY_BODY,
-    deadline: new Deadline(timer, 1_000),
-    objective: new Deadline(timer, 500),
-    depth: 0,
-    key: undefined,
-    signal: new AbortController().signal,
-    giveUp: () => undefined,
-  };
+function callOf(repeatability: Repeatability): Call {
+  return exampleCall(new VirtualTimer(), { route: exampleRoute({ repeatability }) });
 }
 
 function instanceOf(id: string): Instance {
@@ -87,12 +48,12 @@
       [Repeatability.Idempotent, Repeatability.NonIdempotent],
       [Repeatability.Keyless, Repeatability.Idempotent],
     ] as const) {
-      const call = callOf(routeOf(older));
+      const call = callOf(older);
       const course = new Course(call, budget);
       const instance = instanceOf('boards-1');
       course.excluded.add(instance.id);
       const mayFollow = course.mayFollow(failure, instance);
-      const route = withNewerRules(call.route, routeOf(newer));
+      const route = withNewerRules(call.route, exampleRoute({ repeatability: newer }));
       const goesOn = mayFollow && course.renew({ ...call, route, version: 2 }, () => budget);
       const tried = [...course.excluded].join(',');
       seen.push(
@@ -105,11 +66,11 @@
 });
 
 void t.test('a call that a target has answered is not repeated once a version forbids it', (t) => {
-  const call = callOf(routeOf(Repeatability.Idempotent));
+  const call = callOf(Repeatability.Idempotent);
   const course = new Course(call, budget);
   const body = new WholeBody(Buffer.from('x'));
   const isFinal = course.accept({ status: 500, headers: [], body, load: undefined });
-  const route = withNewerRules(call.route, routeOf(Repeatability.Keyless));
+  const route = withNewerRules(call.route, exampleRoute({ repeatability: Repeatability.Keyless }));
   const goesOn = course.renew({ ...call, route, version: 2 }, () => budget);
   t.matchSnapshot(
     `a server error is final ${String(isFinal)}, goes on ${String(goesOn)}`,
@@ -121,7 +82,7 @@
 void t.test(
   'a slow target stays the last resort of a call whose pool was left for a while',
   (t) => {
-    const call = callOf(routeOf(Repeatability.Idempotent));
+    const call = callOf(Repeatability.Idempotent);
     const course = new Course(call, budget);
     const slow: AttemptFailure = {
       ...REFUSED,
@@ -139,7 +100,7 @@
 );
 
 void t.test('a call is counted once at each pool, however many versions come meanwhile', (t) => {
-  const call = callOf(routeOf(Repeatability.Idempotent));
+  const call = callOf(Repeatability.Idempotent);
   const counted: string[] = [];
   const budgetOf = ({ pool, version }: Call) => {
     counted.push(`${pool} at version ${version}`);
--- a/fakes/mod.ts
+++ b/fakes/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from './example_call.ts';
 export * from './example_configuration.ts';
 export * from './fake_platform.ts';
 export * from './fake_target.ts';
--- a/guard/endless_answer_test.ts
+++ b/guard/endless_answer_test.ts
@@ -1,18 +1,15 @@
 import { err, ok } from 'neverthrow';
 import t from 'tap';
 import {
-  Deadline,
-  EMPTY_BODY,
   Leg,
   Repeatability,
   type Attempt,
   type AttemptResult,
   type Body,
   type BodyChunk,
-  type Route,
 } from '../contract/mod.ts';
 import { MemoryLog } from '../event_log/mod.ts';
-import { HomeRegions } from '../failure_domain/mod.ts';
+import { exampleCall, exampleRoute } from '../fakes/mod.ts';
 import { VirtualTimer, sleep } from '../timer/mod.ts';
 import {
   Guard,
@@ -27,22 +24,7 @@
 const CHUNK_PERIOD_MS = 10;
 const LONGEST_MS = 40_000;
 
-const ROUTE: Route = {
-  name: 'boards',
-  workspace: 'plata',
-  methods: undefined,
-  path: '/',
-  pools: [{ pool: 'boards', weight: 1 }],
-  repeatability: Repeatability.Idempotent,
-  homeRegions: HomeRegions.ANYWHERE,
-  weight: 1,
-  timeoutMs: TIMEOUT_MS,
-  objectiveMs: TIMEOUT_MS,
-  maxAttempts: 2,
-  bodyLimitBytes: 1_000,
-  quarantine: false,
-  hedge: false,
-};
+const ROUTE = exampleRoute({ timeoutMs: TIMEOUT_MS, objectiveMs: TIMEOUT_MS });
 
 /** What is done with an answer's body. */
 enum Reading {
@@ -84,32 +66,13 @@
 }
 
 function makeAttempt(timer: VirtualTimer, repeatability: Repeatability): Attempt {
-  const controller = new AbortController();
   return {
     sender: 'entry',
     sequence: 1,
     leg: Leg.Guard,
     fingerprint: undefined,
     insists: false,
-    call: {
-      id: '9c41',
-      route: { ...ROUTE, repeatability },
-      pool: 'boards',
-      version: 1,
-      callerPool: 'boards',
-      method: 'GET',
-      target: '/boards/3',
-      headers: [],
-      body: EMPTY_BODY,
-      deadline: new Deadline(timer, TIMEOUT_MS),
-      objective: new Deadline(timer, TIMEOUT_MS),
-      depth: 0,
-      key: undefined,
-      signal: controller.signal,
-      giveUp: () => {
-        controller.abort();
-      },
-    },
+    call: exampleCall(timer, { route: { ...ROUTE, repeatability } }),
   };
 }
 
--- a/idempotency/key_route_change_test.ts
+++ b/idempotency/key_route_change_test.ts
@@ -1,26 +1,15 @@
 import t from 'tap';
 import { ok } from 'neverthrow';
-import { Deadline, EMPTY_BODY, Repeatability, type Call, type Route } from '../contract/mod.ts';
-import { HomeRegions } from '../failure_domain/mod.ts';
+import { EMPTY_BODY, Repeatability } from '../contract/mod.ts';
+import { exampleCall, exampleRoute } from '../fakes/mod.ts';
 import { VirtualTimer } from '../timer/mod.ts';
 import { KeyOwner } from './key_owner.ts';
 
-const ROUTE: Route = {
+const ROUTE = exampleRoute({
   name: 'post-result',
-  workspace: 'plata',
-  methods: undefined,
   path: '/results',
-  pools: [{ pool: 'results', weight: 1 }],
   repeatability: Repeatability.NonIdempotent,
-  homeRegions: HomeRegions.ANYWHERE,
-  weight: 1,
-  timeoutMs: 1_000,
-  objectiveMs: 500,
-  maxAttempts: 3,
-  bodyLimitBytes: 1_000,
-  quarantine: false,
-  hedge: false,
-};
+});
 
 void t.test(
   'a key that has run is not called unrun after its path has moved to another route',
@@ -32,23 +21,7 @@
       region: () => 'ar-norte',
       incarnation: 'run-1',
     });
-    const call: Call = {
-      id: 'call-1',
-      route: ROUTE,
-      pool: 'results',
-      version: 1,
-      callerPool: 'halls',
-      method: 'POST',
-      target: '/results',
-      headers: [],
-      body: EMPTY_BODY,
-      deadline: new Deadline(timer, 1_000),
-      objective: new Deadline(timer, 500),
-      depth: 0,
-      key: owner.issue(ROUTE),
-      signal: new AbortController().signal,
-      giveUp: () => undefined,
-    };
+    const call = exampleCall(timer, { route: ROUTE, method: 'POST', key: owner.issue(ROUTE) });
     const answer = { status: 200, headers: [], body: EMPTY_BODY, load: undefined };
     const first = await owner.run(call, () => Promise.resolve(ok(answer)));
 
--- a/tap-snapshots/dist/daemon/promises_test.js.test.cjs
+++ b/tap-snapshots/dist/daemon/promises_test.js.test.cjs
@@ -5,6 +5,18 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`dist/daemon/promises_test.js > TAP > a key that was handed on is found while its issuer starts without a configuration > ends 1`] = `
+Array [
+  "answered: results-centro-a ran result (next key)",
+  "answered: results-centro-a ran result (next key)",
+  "runs=1",
+]
+`
+
+exports[`dist/daemon/promises_test.js > TAP > a key that was issued is not called invalid after its route got home regions > end 1`] = `
+unknown: key-owner-gone (next key)
+`
+
 exports[`dist/daemon/promises_test.js > TAP > configuration never reverts and spreads without the platform > versions in force 1`] = `
 Array [
   "published: versions 2",
