--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,6 +4,13 @@
 
 const MS_PER_SECOND = 1_000;
 const EXIT_BROKEN = 1;
+/** Exit code of a soak that was told to end. */
+const EXIT_ENDED = 130;
+
+// The daemons are ended as the process exits, which a signal alone would not have it do.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => process.exit(EXIT_ENDED));
+}
 
 const cli = cac('rhubarbkeel-soak');
 cli
