Guards read and log the rate that their target names, and its leaving

The logs could not show whether a daemon knew a target's rate. The platform's dialect decodes both headers into a TargetStatement; the guard tracks them in NoticeTracker and logs target-notice at each change; gauges rate_limited and rate_limit; the load state carries the notice to entries. A value that is no decimal number is logged and changes nothing.

--- a/compare/modelled_target.ts
+++ b/compare/modelled_target.ts
@@ -3,6 +3,7 @@
 import {
   TargetFailureKind,
   HEALTHY_REPORT,
+  NO_STATEMENT,
   type ProbeReport,
   type TargetAnswer,
   type TargetFailure,
@@ -113,6 +114,7 @@
       targetId,
       shed: false,
       reported: undefined,
+      statement: NO_STATEMENT,
     };
   }
 }
--- a/contract/load_state.ts
+++ b/contract/load_state.ts
@@ -1,3 +1,5 @@
+import type { TargetNotice } from './target_notice.ts';
+
 /** Availability of a target. */
 export enum TargetStage {
   Cold = 'cold',
@@ -17,4 +19,6 @@
   /** Moving average of the execution time, in milliseconds. */
   serviceMs: number;
   stage: TargetStage;
+  /** What the target asks of its callers, if anything. */
+  notice?: TargetNotice;
 }
--- a/contract/mod.ts
+++ b/contract/mod.ts
@@ -19,3 +19,4 @@
 export * from './retry_budget.ts';
 export * from './route.ts';
 export * from './route_table.ts';
+export * from './target_notice.ts';
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -190,6 +190,9 @@
   metrics.gauge(Metric.InFlight, load.inFlight);
   metrics.gauge(Metric.Limit, load.limit);
   metrics.gauge(Metric.Queued, load.queued);
+  const maxCallsPerSecond = load.notice?.maxCallsPerSecond;
+  metrics.gauge(Metric.RateLimited, maxCallsPerSecond === undefined ? 0 : 1);
+  metrics.gauge(Metric.RateLimit, maxCallsPerSecond ?? 0);
   metrics.gauge(Metric.Links, links);
   metrics.gauge(Metric.ConfigurationVersion, configurationVersion);
   metrics.gauge(Metric.KeptBytes, keptBytes);
--- a/event_log/event.ts
+++ b/event_log/event.ts
@@ -23,6 +23,7 @@
   EntryUnreadable = 'entry-unreadable',
   TargetColdStart = 'target-cold-start',
   TargetWarm = 'target-warm',
+  TargetNotice = 'target-notice',
   FingerprintQuarantined = 'fingerprint-quarantined',
   KeysHandedOver = 'keys-handed-over',
   AttemptRefused = 'attempt-refused',
--- a/fakes/fake_target.ts
+++ b/fakes/fake_target.ts
@@ -3,6 +3,7 @@
 import {
   TargetFailureKind,
   HEALTHY_REPORT,
+  NO_STATEMENT,
   type ProbeReport,
   type TargetAnswer,
   type TargetFailure,
@@ -49,6 +50,8 @@
   /** Whether it answers every call with status 500 without delay. */
   failsFast = false;
   isUp = true;
+  /** What each of its messages states about the calls that it takes. */
+  statement = NO_STATEMENT;
   /** Number of calls that are executing. */
   running = 0;
   /** Number of executions so far. */
@@ -85,7 +88,7 @@
   async probe(): Promise<ProbeReport | undefined> {
     this.probes += 1;
     await sleep(this.#options.timer, 1);
-    return this.isUp ? HEALTHY_REPORT : undefined;
+    return this.isUp ? { ...HEALTHY_REPORT, statement: this.statement } : undefined;
   }
 
   /** Ends the process and restarts it after {@linkcode FakeTarget.restartMs}. */
@@ -147,6 +150,7 @@
       targetId,
       shed: false,
       reported: undefined,
+      statement: this.statement,
     };
   }
 }
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -29,6 +29,7 @@
 import { AttemptLedger } from './attempt_ledger.ts';
 import { makeLimit, type ConcurrencyLimit, type LimitKind } from './concurrency_limit.ts';
 import { AdmissionQueue, type AdmissionLimits } from './admission_queue.ts';
+import { NoticeSource, NoticeTracker } from './notice_tracker.ts';
 import { Quarantine } from './quarantine.ts';
 import { ServiceTimeAverage } from './service_time_average.ts';
 import { TargetHealth } from './target_health.ts';
@@ -114,6 +115,7 @@
   #slots: number;
   #overLimitCount = 0;
   readonly #slowdownTracker: SlowdownTracker;
+  readonly #notices: NoticeTracker;
 
   /** @param options See {@linkcode GuardOptions}. */
   constructor(options: GuardOptions) {
@@ -126,7 +128,14 @@
       coldMs: options.getPool()?.coldMs ?? 0,
       coldPerSecond: options.getPool()?.coldPerSecond,
     }));
-    this.#health = new TargetHealth(options.log, this.#warmUp);
+    this.#health = new TargetHealth(options.log, this.#warmUp, () => {
+      this.#notices.recordRestart();
+    });
+    this.#notices = new NoticeTracker({
+      timer: options.timer,
+      log: options.log,
+      getTargetId: () => this.#health.targetId,
+    });
     this.#slowdownTracker = new SlowdownTracker(options.timer);
     this.#queue = new AdmissionQueue(options.timer, () => this.#readAdmissionLimits());
     this.#ledger = new AttemptLedger(options.timer);
@@ -135,6 +144,7 @@
       port: options.port,
       health: this.#health,
       slowdown: this.#slowdownTracker,
+      notices: this.#notices,
       periodMs: options.probePeriodMs,
       getPath: () => options.getPool()?.healthPath,
       isUrgent: () => this.#health.getStage(this.#limit.current) !== TargetStage.Warm,
@@ -146,12 +156,14 @@
 
   /** @returns Current load of the target. */
   get load(): LoadState {
+    const { notice } = this.#notices;
     return {
       inFlight: this.#queue.inFlight,
       limit: this.#readLimit(),
       queued: this.#queue.queued,
       serviceMs: this.#serviceTime.meanMs,
       stage: this.#health.getStage(this.#limit.current),
+      ...(notice && { notice }),
     };
   }
 
@@ -298,7 +310,7 @@
     const executionLimit = this.#limitExecution(attempt.call);
     const result = await this.#runTarget(attempt, executionLimit.signal);
     const elapsedMs = this.#timer.now() - startMs;
-    this.#recordResult(attempt, result, { elapsedMs, inFlight });
+    this.#recordResult(attempt, result, { elapsedMs, inFlight, sentAtMs: startMs });
     if (hadNoSlowdown && result.isOk() && !result.value.shed) {
       this.#slowdownTracker.recordExecution(attempt.call.route.name, elapsedMs);
     }
@@ -354,7 +366,7 @@
   #recordResult(
     attempt: Attempt,
     result: Result<TargetAnswer, TargetFailure>,
-    { elapsedMs, inFlight }: { elapsedMs: number; inFlight: number },
+    { elapsedMs, inFlight, sentAtMs }: { elapsedMs: number; inFlight: number; sentAtMs: number },
   ): void {
     if (result.isErr()) {
       this.#recordFailure(attempt, result.error);
@@ -363,9 +375,11 @@
     if (attempt.fingerprint !== undefined)
       this.#options.quarantine.recordAnswer(attempt.fingerprint);
     const succeeded = result.value.status < SERVER_ERROR_STATUS;
-    const { targetId, shed, reported } = result.value;
+    const { targetId, shed, reported, statement } = result.value;
     this.#slowdownTracker.recordReport(reported);
     this.#health.recordAnswer(targetId);
+    const source = shed ? NoticeSource.Shed : NoticeSource.Answer;
+    this.#notices.record({ statement, sentAtMs, source });
     if (shed) return;
     this.#serviceTime.record(elapsedMs);
     this.#limit.record({ elapsedMs, inFlight, succeeded });
--- a/guard/target_health.ts
+++ b/guard/target_health.ts
@@ -13,6 +13,7 @@
 export class TargetHealth {
   readonly #log: EventLog;
   readonly #warmUp: WarmUp;
+  readonly #onNewProcess: () => void;
   #isDown = false;
   #unansweredProbes = 0;
   #targetId: string | undefined;
@@ -20,10 +21,12 @@
   /**
    * @param log Receives an event for each cold start.
    * @param warmUp Restarted at each cold start.
+   * @param onNewProcess Called once the process that sent the earlier answers is known to have ended.
    */
-  constructor(log: EventLog, warmUp: WarmUp) {
+  constructor(log: EventLog, warmUp: WarmUp, onNewProcess: () => void) {
     this.#log = log;
     this.#warmUp = warmUp;
+    this.#onNewProcess = onNewProcess;
   }
 
   /** @returns Whether the target was not listening when last contacted. */
@@ -56,7 +59,9 @@
     if (targetId === undefined || targetId === this.#targetId) return;
     const isRestart = this.#targetId !== undefined;
     this.#targetId = targetId;
-    if (isRestart) this.#recordRestart('run');
+    if (!isRestart) return;
+    this.#recordRestart('run');
+    this.#onNewProcess();
   }
 
   /** Records that the target refused a connection. */
@@ -64,6 +69,7 @@
     if (this.#isDown) return;
     this.#isDown = true;
     this.#recordRestart('refused');
+    this.#onNewProcess();
   }
 
   /** Records that a connection was lost before an answer was complete. */
--- a/guard/target_port.ts
+++ b/guard/target_port.ts
@@ -1,5 +1,6 @@
 import type { Result } from 'neverthrow';
 import type { Answer, Body, Headers } from '../contract/mod.ts';
+import { NO_STATEMENT, type TargetStatement } from './target_statement.ts';
 
 /** A call that is sent to the target. */
 export interface TargetRequest {
@@ -35,6 +36,8 @@
   shed: boolean;
   /** Load that the target reported with the answer. */
   reported: ReportedLoad | undefined;
+  /** What the answer states about the calls that the target takes. */
+  statement: TargetStatement;
 }
 
 /** Reasons why a call to the target got no answer. */
@@ -65,6 +68,8 @@
   /** Time for which the target stays cold, in milliseconds, if reported. */
   coldMs: number | undefined;
   load: ReportedLoad | undefined;
+  /** What the report states about the calls that the target takes. */
+  statement: TargetStatement;
 }
 
 /** Report of a healthy target without any details. */
@@ -73,6 +78,7 @@
   targetId: undefined,
   coldMs: undefined,
   load: undefined,
+  statement: NO_STATEMENT,
 };
 
 /** Client interface of the target beside this daemon. */
--- a/guard/target_prober.ts
+++ b/guard/target_prober.ts
@@ -1,4 +1,5 @@
 import { withTimeout, type Subscription, type TimerService } from '../timer/mod.ts';
+import { NoticeSource, type NoticeTracker } from './notice_tracker.ts';
 import type { TargetHealth } from './target_health.ts';
 import type { SlowdownTracker } from './slowdown_tracker.ts';
 import type { TargetPort } from './target_port.ts';
@@ -20,6 +21,7 @@
   port: TargetPort;
   health: TargetHealth;
   slowdown: SlowdownTracker;
+  notices: NoticeTracker;
   /** Period between probes, in milliseconds; if absent, only a target that is down is probed. */
   periodMs: number | undefined;
   /** @returns Path of the health endpoint, if the configuration has one. */
@@ -79,11 +81,15 @@
   }
 
   async #probeOnce(): Promise<void> {
-    const { timer, port, health, slowdown, periodMs, getPath, onCheck } = this.#options;
-    this.#probedAtMs = timer.now();
+    const { timer, port, health, slowdown, notices, periodMs, getPath, onCheck } = this.#options;
+    const sentAtMs = timer.now();
+    this.#probedAtMs = sentAtMs;
     const report = await port.probe(getPath());
     slowdown.recordReport(report?.load);
     if (report || periodMs !== undefined) health.recordProbe(report);
+    if (report) {
+      notices.record({ statement: report.statement, sentAtMs, source: NoticeSource.Probe });
+    }
     onCheck();
   }
 }
--- a/guard/unbounded_answer_test.ts
+++ b/guard/unbounded_answer_test.ts
@@ -15,6 +15,7 @@
   Guard,
   HEALTHY_REPORT,
   LimitKind,
+  NO_STATEMENT,
   Quarantine,
   type TargetPort,
   type TargetRequest,
@@ -48,7 +49,13 @@
       this.cancelledAtMs ??= this.#timer.now();
     });
     const body = this.#trickle(signal);
-    const fields = { load: undefined, targetId: undefined, shed: false, reported: undefined };
+    const fields = {
+      load: undefined,
+      targetId: undefined,
+      shed: false,
+      reported: undefined,
+      statement: NO_STATEMENT,
+    };
     return Promise.resolve(ok({ status: 200, headers: [], body, ...fields }));
   }
 
--- a/link/default_dialect.ts
+++ b/link/default_dialect.ts
@@ -1,5 +1,5 @@
 import { Outcome, type Refusal } from '../contract/mod.ts';
-import type { TargetRequest } from '../guard/mod.ts';
+import { NO_STATEMENT, type TargetRequest } from '../guard/mod.ts';
 import { HeaderName } from './headers.ts';
 import type {
   CallerHeaderFields,
@@ -39,6 +39,7 @@
       isAuthentic: true,
       load: undefined,
       coldMs: undefined,
+      statement: NO_STATEMENT,
     };
   }
 
--- a/link/frame_layout.ts
+++ b/link/frame_layout.ts
@@ -17,6 +17,14 @@
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
+function isRate(value: unknown): boolean {
+  return isNumber(value) && (value as number) >= 0;
+}
+
+function orAbsent(check: FieldCheck): FieldCheck {
+  return (value) => value === undefined || check(value);
+}
+
 function orNull(check: FieldCheck): FieldCheck {
   return (value) => value === null || check(value);
 }
@@ -34,12 +42,19 @@
   };
 }
 
+const isNotice = hasFields({
+  targetId: orAbsent(isText),
+  maxCallsPerSecond: orAbsent(isRate),
+  isLeaving: isFlag,
+});
+
 const isLoad = hasFields({
   inFlight: isCount,
   limit: isCount,
   queued: isCount,
   serviceMs: isNumber,
   stage: isOneOf(TargetStage),
+  notice: orAbsent(isNotice),
 });
 
 const isHandoverAnswer = hasFields({
--- a/link/http_dialect.ts
+++ b/link/http_dialect.ts
@@ -1,5 +1,5 @@
 import type { Refusal } from '../contract/mod.ts';
-import type { ReportedLoad, TargetRequest } from '../guard/mod.ts';
+import type { ReportedLoad, TargetRequest, TargetStatement } from '../guard/mod.ts';
 
 /** Returns the value of a message's header by its lower-case name. */
 export type HeaderReader = (name: string) => string | undefined;
@@ -27,6 +27,7 @@
   load: ReportedLoad | undefined;
   /** Remaining time of the target's cold start, in milliseconds, if the target sends it. */
   coldMs: number | undefined;
+  statement: TargetStatement;
 }
 
 /** Translates between HTTP headers and the fields of calls and answers. */
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -96,11 +96,11 @@
         signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
       });
       await res.body.dump();
-      const { targetId, coldMs, load } = this.#dialect.readTargetHeaders(
+      const { targetId, coldMs, load, statement } = this.#dialect.readTargetHeaders(
         res.statusCode,
         makeHeaderReader(res),
       );
-      return { isHealthy: res.statusCode < 500, targetId, coldMs, load };
+      return { isHealthy: res.statusCode < 500, targetId, coldMs, load, statement };
     } catch {
       return undefined;
     }
@@ -147,7 +147,7 @@
         : `status ${status} unsigned`;
       return err({ kind: TargetFailureKind.MalformedAnswer, detail });
     }
-    const { targetId, shed, load: reported } = fields;
+    const { targetId, shed, load: reported, statement } = fields;
     const resetsBefore = this.#resetCount;
     const body = await bufferSmallBody(res.body);
     // The library treats an answer without a length as complete even if its connection was reset.
@@ -162,7 +162,7 @@
       }
     }
     const headers = removeHopByHopHeaders(toHeaders(res.headers));
-    return ok({ status, headers, body, load: undefined, targetId, shed, reported });
+    return ok({ status, headers, body, load: undefined, targetId, shed, reported, statement });
   }
 }
 
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -5,6 +5,10 @@
   InFlight = 'in_flight',
   Limit = 'limit',
   Queued = 'queued',
+  /** Whether the target has named a rate of calls that it takes: 1 if it has, 0 otherwise. */
+  RateLimited = 'rate_limited',
+  /** Calls per second that the target takes; zero unless it is rate-limited. */
+  RateLimit = 'rate_limit',
   Links = 'links',
   ConfigurationVersion = 'configuration_version',
   KeptBytes = 'kept_bytes',
--- a/tap-snapshots/dist/platform/platform_dialect_test.js.test.cjs
+++ b/tap-snapshots/dist/platform/platform_dialect_test.js.test.cjs
@@ -5,6 +5,34 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`dist/platform/platform_dialect_test.js > TAP > PlatformDialect.readTargetHeaders() accepts only decimal numbers as a rate > leaving 1`] = `
+Array [
+  "1: true",
+  "0: false",
+  "true: false",
+  ": false",
+]
+`
+
+exports[`dist/platform/platform_dialect_test.js > TAP > PlatformDialect.readTargetHeaders() accepts only decimal numbers as a rate > rates 1`] = `
+Array [
+  "4.4: {\\"kind\\":\\"named\\",\\"perSecond\\":4.4}",
+  "0: {\\"kind\\":\\"named\\",\\"perSecond\\":0}",
+  "12: {\\"kind\\":\\"named\\",\\"perSecond\\":12}",
+  " 3.5 : {\\"kind\\":\\"named\\",\\"perSecond\\":3.5}",
+  ".5: {\\"kind\\":\\"named\\",\\"perSecond\\":0.5}",
+  "4.: {\\"kind\\":\\"named\\",\\"perSecond\\":4}",
+  "1e3: {\\"kind\\":\\"malformed\\",\\"text\\":\\"1e3\\"}",
+  "-1: {\\"kind\\":\\"malformed\\",\\"text\\":\\"-1\\"}",
+  ": {\\"kind\\":\\"malformed\\",\\"text\\":\\"\\"}",
+  "NaN: {\\"kind\\":\\"malformed\\",\\"text\\":\\"NaN\\"}",
+  "Infinity: {\\"kind\\":\\"malformed\\",\\"text\\":\\"Infinity\\"}",
+  "9999999999: {\\"kind\\":\\"malformed\\",\\"text\\":\\"99999999999999999999999999999999",
+  "4,5: {\\"kind\\":\\"malformed\\",\\"text\\":\\"4,5\\"}",
+  "0x10: {\\"kind\\":\\"malformed\\",\\"text\\":\\"0x10\\"}",
+]
+`
+
 exports[`dist/platform/platform_dialect_test.js > TAP > PlatformDialect.readTargetHeaders() parses the headers of target answers > fields 1`] = `
 Object {
   "another run": Object {
@@ -13,6 +41,12 @@
     "isAuthentic": true,
     "load": undefined,
     "shed": true,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": "i-02",
   },
   "cold in milliseconds": Object {
@@ -21,6 +55,12 @@
     "isAuthentic": false,
     "load": undefined,
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": "i-1",
   },
   "cold in seconds": Object {
@@ -29,6 +69,12 @@
     "isAuthentic": false,
     "load": undefined,
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": "i-1",
   },
   "cold without a number": Object {
@@ -37,6 +83,12 @@
     "isAuthentic": false,
     "load": undefined,
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": "i-1",
   },
   "cold without a unit": Object {
@@ -45,6 +97,12 @@
     "isAuthentic": false,
     "load": undefined,
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": "i-1",
   },
   "load of non-numbers": Object {
@@ -53,6 +111,12 @@
     "isAuthentic": true,
     "load": undefined,
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": undefined,
   },
   "load with slowdown": Object {
@@ -66,6 +130,12 @@
       "waiting": 1,
     },
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": undefined,
   },
   "load with too few numbers": Object {
@@ -74,6 +144,12 @@
     "isAuthentic": true,
     "load": undefined,
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": undefined,
   },
   "load without slowdown": Object {
@@ -87,6 +163,12 @@
       "waiting": 1,
     },
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": undefined,
   },
   "shed": Object {
@@ -95,6 +177,12 @@
     "isAuthentic": true,
     "load": undefined,
     "shed": true,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": undefined,
   },
   "signed": Object {
@@ -103,6 +191,12 @@
     "isAuthentic": true,
     "load": undefined,
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": undefined,
   },
   "unsigned failure": Object {
@@ -111,6 +205,12 @@
     "isAuthentic": true,
     "load": undefined,
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": undefined,
   },
   "unsigned success": Object {
@@ -119,6 +219,12 @@
     "isAuthentic": false,
     "load": undefined,
     "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
     "targetId": undefined,
   },
 }
