Guards keep to the rate that their target names, and to its leaving

Cause: what a target asks of its callers was not part of the model; the guard limited concurrency and cold starts only.

- All calls pass the guard, so it alone enforces: a token bucket (now shared with the cold limit) at the named rate, empty at first, one second deep.
A start that is not sent puts its token back.
- A target at its rate refuses at once and states when it may start a call; the entry tries others and waits only when no other is left, in a queue that holds no call longer than its deadline bears.
The refusal of last resort carries the shortest such delay as Retry-After.
- The rate ends with an answer, sent for after the last naming, without one; or with the target's process.
- Leaving: refused at once, queue included.
It ends with the process or a healthy report without it.
- A restarted guard has forgotten both: an entry repeats the last notice when a link opens (frame 19, protocol 5); the target's own word replaces it.

--- a/contract/call.ts
+++ b/contract/call.ts
@@ -54,8 +54,8 @@
   call: Call;
   /** Fingerprint of the call, if quarantine is enabled for its route. */
   fingerprint: string | undefined;
-  /** Whether to run the call even at a target that is too slow, since all other targets are too. */
-  acceptsSlowTarget: boolean;
+  /** Whether the call may run late, as other targets are too slow or at their rate as well. */
+  acceptsDelay: boolean;
 }
 
 /** An answer from a target to the caller. */
--- a/contract/load_state.ts
+++ b/contract/load_state.ts
@@ -21,4 +21,9 @@
   stage: TargetStage;
   /** What the target asks of its callers, if anything. */
   notice?: TargetNotice;
+  /**
+   * Time until the rate that the target has named permits another call to start, in milliseconds;
+   * absent if it has named none.
+   */
+  startDelayMs?: number;
 }
--- a/contract/refusal.ts
+++ b/contract/refusal.ts
@@ -23,6 +23,8 @@
   Leaving = 'leaving',
   NotReady = 'not-ready',
   TargetBusy = 'target-busy',
+  /** The target has named a rate of calls that it takes, and a further call would wait too long. */
+  TargetRateLimited = 'target-rate-limited',
   /** With its current slowdown the target would not complete the call in time. */
   TargetSlow = 'target-slow',
   /** The target itself shed the call without running it. */
--- a/daemon/control_frame_handler.ts
+++ b/daemon/control_frame_handler.ts
@@ -4,13 +4,14 @@
 import { FrameKind, type Frame, type HandoverFrame, type PeerLink } from '../link/mod.ts';
 import type { TargetViews } from '../placement/mod.ts';
 import type { DocumentDistributor } from '../distribution/mod.ts';
-import type { Quarantine } from '../guard/mod.ts';
+import type { Guard, Quarantine } from '../guard/mod.ts';
 import type { ClusterView } from './cluster_view.ts';
 
 /** Options of {@linkcode ControlFrameHandler}. */
 export interface ControlFrameHandlerOptions {
   view: ClusterView;
   targetViews: TargetViews;
+  guard: Guard;
   quarantine: Quarantine;
   getOwner: () => KeyOwner;
   getDistributor: () => DocumentDistributor;
@@ -50,6 +51,9 @@
       case FrameKind.CrashSuspect:
         quarantine.recordCrash(frame.fingerprint, frame.instanceId);
         break;
+      case FrameKind.TargetNotice:
+        this.#options.guard.recordPeerNotice(frame.notice);
+        break;
       case FrameKind.Versions:
         view.versionTracker.recordKnown(frame.configuration);
         getDistributor().handleFrame(link, frame);
@@ -59,6 +63,17 @@
     }
   }
 
+  /**
+   * Repeats to a peer what its target has asked of its callers, since the peer may have restarted
+   * and the target may not have answered it yet.
+   *
+   * @param link A link that was just opened.
+   */
+  repeatTargetNotice(link: PeerLink): void {
+    const { notice } = this.#options.targetViews.get(link.peer.instanceId);
+    if (notice) link.sendFrame({ kind: FrameKind.TargetNotice, notice });
+  }
+
   /**
    * Reports a call that was in flight when a target crashed to the peers in its home regions.
    *
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -104,6 +104,7 @@
     this.#controlFrames = new ControlFrameHandler({
       view: this.#view,
       targetViews: this.#targetViews,
+      guard: this.guard,
       quarantine: this.#quarantine,
       getOwner: () => this.owner,
       getDistributor: () => this.distributor,
@@ -285,6 +286,7 @@
       dialer,
       onOpen: (link) => {
         if (this.#view.isLeaving) link.sendFrame({ kind: FrameKind.Leaving });
+        this.#controlFrames.repeatTargetNotice(link);
         if (this.stage === InstanceStage.Starting) this.distributor.requestUpdates(link);
       },
       services: {
--- a/entry/call_progress.ts
+++ b/entry/call_progress.ts
@@ -28,14 +28,17 @@
   #call: Call;
   #budget: RetryBudget;
   readonly #slowTargets: string[] = [];
+  readonly #rateLimitedTargets: string[] = [];
   /** Instances whose guards refused because their version differs from that of the call. */
   readonly #versionMismatches: string[] = [];
   #reachedCount = 0;
   #refusedCount = 0;
-  #acceptsSlowTarget = false;
+  #acceptsDelay = false;
   #mayHaveRun = false;
   #lastRefusal: Refusal | undefined;
   #serverError: Answer | undefined;
+  /** Shortest time until the rate of a target that refused permits another start, in milliseconds. */
+  #startDelayMs = Infinity;
 
   /**
    * @param call The call.
@@ -51,9 +54,9 @@
     return this.#call;
   }
 
-  /** @returns Whether the next target executes the call however slow it is. */
-  get acceptsSlowTarget(): boolean {
-    return this.#acceptsSlowTarget;
+  /** @returns Whether the next target accepts the call even if it runs late. */
+  get acceptsDelay(): boolean {
+    return this.#acceptsDelay;
   }
 
   /**
@@ -80,7 +83,9 @@
    */
   recordFailure(failure: AttemptFailure, instance: Instance): boolean {
     this.#recordRefusal(failure, instance);
-    if (!this.#mayRetry(failure) || this.#refusedCount > MAX_GUARD_REFUSALS) return false;
+    if (!this.#mayRetry(failure)) return false;
+    if (this.#refusedCount > MAX_GUARD_REFUSALS)
+      return this.#rateLimitedTargets.length > 0 && this.readmitDelayingTargets();
     // An attempt that a guard refused puts no load on its target, so it costs no retry budget.
     if (!hasReachedTarget(failure)) return true;
     return this.#reachedCount < this.#call.route.maxAttempts && this.#budget.tryAcquire();
@@ -100,7 +105,8 @@
     if (call.pool !== this.#call.pool) {
       this.#budget = recordCall(call);
       this.#readmit(this.#slowTargets);
-      this.#acceptsSlowTarget = false;
+      this.#readmit(this.#rateLimitedTargets);
+      this.#acceptsDelay = false;
     }
     this.#call = call;
     this.#refusedCount -= this.#versionMismatches.length;
@@ -114,15 +120,16 @@
   }
 
   /**
-   * Makes the targets that refused as too slow available again. The next target executes the call
-   * however slow it is.
+   * Makes the targets that refused because the call would run late available again. The next target
+   * accepts it even so.
    *
    * @returns Whether any target became available.
    */
-  readmitSlowTargets(): boolean {
-    if (this.#acceptsSlowTarget || this.#slowTargets.length === 0) return false;
-    this.#acceptsSlowTarget = true;
-    for (const id of this.#slowTargets) this.excluded.delete(id);
+  readmitDelayingTargets(): boolean {
+    const delayingTargets = [...this.#slowTargets, ...this.#rateLimitedTargets];
+    if (this.#acceptsDelay || delayingTargets.length === 0) return false;
+    this.#acceptsDelay = true;
+    for (const id of delayingTargets) this.excluded.delete(id);
     return true;
   }
 
@@ -138,19 +145,29 @@
     // The last failure is more specific than the lack of further targets.
     const hasNoTarget = refusal.reason === RefusalReason.NoTarget;
     const cause = hasNoTarget ? (this.#lastRefusal ?? refusal) : refusal;
-    return err(this.#mayHaveRun ? makeUnknownRefusal(cause.reason, cause.detail) : cause);
+    if (this.#mayHaveRun) return err(makeUnknownRefusal(cause.reason, cause.detail));
+    return err(this.#withStartDelay(cause));
+  }
+
+  #withStartDelay(refusal: Refusal): Refusal {
+    const isRateLimited = refusal.reason === RefusalReason.TargetRateLimited;
+    if (!isRateLimited || !Number.isFinite(this.#startDelayMs)) return refusal;
+    return { ...refusal, retryAfterMs: Math.ceil(this.#startDelayMs) };
   }
 
   #recordRefusal(failure: AttemptFailure, instance: Instance): void {
     this.#mayHaveRun ||= !isNotRun(failure.kind);
     this.#lastRefusal = failure.refusal;
+    this.#startDelayMs = Math.min(this.#startDelayMs, failure.load?.startDelayMs ?? Infinity);
     if (hasReachedTarget(failure)) this.#reachedCount += 1;
     else this.#refusedCount += 1;
     if (failure.refusal.reason === RefusalReason.VersionsDiffer)
       this.#versionMismatches.push(instance.id);
+    if (failure.refusal.reason === RefusalReason.TargetRateLimited)
+      this.#rateLimitedTargets.push(instance.id);
     if (failure.refusal.reason !== RefusalReason.TargetSlow) return;
     this.#slowTargets.push(instance.id);
-    if (this.#slowTargets.length >= MAX_SLOW_TARGETS) this.readmitSlowTargets();
+    if (this.#slowTargets.length >= MAX_SLOW_TARGETS) this.readmitDelayingTargets();
   }
 
   /** A server error of an idempotent call may be a fault of the target alone; another is tried. */
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -138,7 +138,7 @@
       if (refreshed.isErr()) return progress.conclude(refreshed.error);
       const decided = this.#decideTarget(progress.call, fingerprint, progress.excluded);
       if (decided.isErr()) {
-        if (progress.readmitSlowTargets()) continue;
+        if (progress.readmitDelayingTargets()) continue;
         return progress.conclude(decided.error);
       }
       const result = await this.#attemptOnce(progress.call, decided.value, {
@@ -186,8 +186,8 @@
   ): Promise<AttemptResult> {
     const { excluded } = progress;
     excluded.add(decision.instance.id);
-    const { acceptsSlowTarget } = progress;
-    if (!call.route.hedge) return this.#attempt(call, decision, { fingerprint, acceptsSlowTarget });
+    const { acceptsDelay } = progress;
+    if (!call.route.hedge) return this.#attempt(call, decision, { fingerprint, acceptsDelay });
     return this.#attemptHedged(call, decision, {
       fingerprint,
       excluded,
@@ -240,7 +240,7 @@
   ): Promise<AttemptResult> {
     const { fingerprint, excluded, hedgeBudget } = context;
     hedgeBudget.recordCall();
-    const fields = { fingerprint, acceptsSlowTarget: false };
+    const fields = { fingerprint, acceptsDelay: false };
     if (!(call.body instanceof BufferedBody)) return this.#attempt(call, decision, fields);
     return raceHedged(call, {
       timer: this.#options.timer,
@@ -258,7 +258,7 @@
   async #attempt(
     call: Call,
     decision: PlacementDecision,
-    fields: Pick<Attempt, 'fingerprint' | 'acceptsSlowTarget'>,
+    fields: Pick<Attempt, 'fingerprint' | 'acceptsDelay'>,
   ): Promise<AttemptResult> {
     const opened = await this.#options.peers.open(decision.instance);
     if (opened.isErr()) {
@@ -275,7 +275,7 @@
     return result;
   }
 
-  #makeAttempt(call: Call, fields: Pick<Attempt, 'fingerprint' | 'acceptsSlowTarget'>): Attempt {
+  #makeAttempt(call: Call, fields: Pick<Attempt, 'fingerprint' | 'acceptsDelay'>): Attempt {
     const { sender, sequence } = this.#options.attempts.next();
     return { sender, sequence, receiverRole: ReceiverRole.Guard, call, ...fields };
   }
--- a/entry/key_relay.ts
+++ b/entry/key_relay.ts
@@ -104,7 +104,7 @@
       receiverRole,
       call,
       fingerprint: undefined,
-      acceptsSlowTarget: true,
+      acceptsDelay: true,
     };
     return awaitResult(port.send(attempt), this.#options.timer, call.deadline.leftMs + GRACE_MS);
   }
--- a/guard/admission_queue.ts
+++ b/guard/admission_queue.ts
@@ -2,12 +2,20 @@
 import { makeNotRunRefusal, RefusalReason, type Deadline, type Refusal } from '../contract/mod.ts';
 import type { Subscription, TimerService } from '../timer/mod.ts';
 
+/**
+ * Mean execution times left to a call that waits for a start. A start whose answer comes too late is
+ * lost to the other calls.
+ */
+const RATED_EXECUTIONS = 2;
+
 /** A call that requests a slot. */
 export interface AdmissionRequest {
   /** Value of its answer; when the queue is full, the lowest is refused first. */
   weight: number;
   deadline: Deadline;
   signal: AbortSignal;
+  /** Whether it waits for the target's rate to permit its start; false by default. */
+  acceptsDelay?: boolean;
 }
 
 /** Limits of an {@linkcode AdmissionQueue}, read at each use. */
@@ -20,6 +28,10 @@
   readonly queueWaitMs: number;
   /** Expected duration of one execution, in milliseconds. */
   readonly serviceMs: number;
+  /** Time until the target's rate permits a call to start, in milliseconds; zero by default. */
+  readonly startDelayMs?: number;
+  /** Time from one start to the next at the target's rate, in milliseconds; zero by default. */
+  readonly startIntervalMs?: number;
   /** Called for each admitted call. */
   readonly onAdmit?: () => void;
 }
@@ -35,6 +47,7 @@
   readonly #getLimits: () => AdmissionLimits;
   readonly #queue: QueuedCall[] = [];
   #inFlight = 0;
+  #nextStart: Subscription | undefined;
 
   /**
    * @param timer The clock.
@@ -63,7 +76,7 @@
    * @returns Nothing once the call may run, or a refusal.
    */
   async acquire(request: AdmissionRequest): Promise<Result<void, Refusal>> {
-    if (this.#inFlight < this.#getLimits().limit && this.#queue.length === 0) {
+    if (this.#canStart && this.#queue.length === 0) {
       this.#admit();
       return ok(undefined);
     }
@@ -81,12 +94,27 @@
 
   /** Admits queued calls while slots are free, for example after the limit has risen. */
   admitQueued(): void {
-    while (this.#inFlight < this.#getLimits().limit) {
+    while (this.#canStart) {
       const next = this.#dequeue();
       if (!next) return;
       this.#admit();
       next.resolve(ok(undefined));
     }
+    this.#scheduleNextStart();
+  }
+
+  /** Refuses queued calls that can no longer start in time, for example after the rate has fallen. */
+  refuseLate(): void {
+    const byWeight = [...this.#queue].sort((first, second) => second.weight - first.weight);
+    let ahead = 0;
+    for (const queued of byWeight) {
+      if (this.#startsInTime(queued, ahead)) {
+        ahead += 1;
+        continue;
+      }
+      this.#remove(queued);
+      this.#resolve(queued, err(this.#makeBusyRefusal()));
+    }
   }
 
   /**
@@ -103,15 +131,46 @@
     this.#getLimits().onAdmit?.();
   }
 
+  get #canStart(): boolean {
+    const { limit, startDelayMs = 0 } = this.#getLimits();
+    return this.#inFlight < limit && startDelayMs === 0;
+  }
+
+  /** Admits queued calls when the target's rate permits the next start. */
+  #scheduleNextStart(): void {
+    this.#nextStart?.cancel();
+    const { startDelayMs = 0 } = this.#getLimits();
+    if (startDelayMs === 0 || this.#queue.length === 0) return;
+    this.#nextStart = this.#timer.after(startDelayMs, () => {
+      this.admitQueued();
+    });
+  }
+
   #makeRoom(request: AdmissionRequest): boolean {
-    const { limit, queueLength, serviceMs } = this.#getLimits();
+    const { queueLength } = this.#getLimits();
     const ahead = this.#queue.filter((each) => each.weight >= request.weight).length;
-    const expectedMs = ((ahead + 1) * serviceMs) / Math.max(1, limit) + serviceMs;
-    if (expectedMs > request.deadline.leftMs) return false;
+    if (!this.#startsInTime(request, ahead)) return false;
     if (this.#queue.length < queueLength) return true;
     return this.#refuseBelow(request.weight);
   }
 
+  /** Reports whether a call that is queued behind others would start before it has to be refused. */
+  #startsInTime(request: AdmissionRequest, ahead: number): boolean {
+    const { limit, serviceMs, startIntervalMs = 0 } = this.#getLimits();
+    const isSlotFree = this.#inFlight + ahead < limit;
+    const slotDelayMs = isSlotFree ? 0 : ((ahead + 1) * serviceMs) / Math.max(1, limit);
+    if (slotDelayMs + serviceMs > request.deadline.leftMs) return false;
+    return startIntervalMs === 0 || this.#isRateDelayAcceptable(request, ahead);
+  }
+
+  #isRateDelayAcceptable(request: AdmissionRequest, ahead: number): boolean {
+    const { queueWaitMs, serviceMs, startDelayMs = 0, startIntervalMs = 0 } = this.#getLimits();
+    const { leftMs } = request.deadline;
+    const longestMs = request.acceptsDelay === true ? queueWaitMs : 0;
+    const delayMs = startDelayMs + ahead * startIntervalMs;
+    return delayMs <= longestMs && delayMs + RATED_EXECUTIONS * serviceMs <= leftMs;
+  }
+
   #refuseBelow(weight: number): boolean {
     const lowest = this.#findLowest();
     if (!lowest || lowest.weight >= weight) return false;
@@ -148,6 +207,7 @@
       },
     };
     this.#queue.push(queued);
+    this.#scheduleNextStart();
     request.signal.addEventListener('abort', onAbort);
     if (request.signal.aborted) onAbort();
   }
@@ -181,8 +241,13 @@
   }
 
   #makeBusyRefusal(): Refusal {
-    const { limit } = this.#getLimits();
+    const { limit, startDelayMs = 0, startIntervalMs = 0 } = this.#getLimits();
     const detail = `target runs ${this.#inFlight} of ${limit} calls and ${this.#queue.length} wait`;
+    if (startIntervalMs > 0) {
+      const retryAfterMs = startDelayMs + this.#queue.length * startIntervalMs;
+      const rated = `${detail}, at one start in ${Math.round(startIntervalMs)} ms`;
+      return { ...makeNotRunRefusal(RefusalReason.TargetRateLimited, rated), retryAfterMs };
+    }
     return {
       ...makeNotRunRefusal(RefusalReason.TargetBusy, detail),
       retryAfterMs: this.#getLimits().queueWaitMs,
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -23,6 +23,7 @@
   type LoadState,
   type Pool,
   type Refusal,
+  type TargetNotice,
 } from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
 import type { Subscription, TimerService } from '../timer/mod.ts';
@@ -31,6 +32,7 @@
 import { AdmissionQueue, type AdmissionLimits } from './admission_queue.ts';
 import { NoticeSource, NoticeTracker } from './notice_tracker.ts';
 import { Quarantine } from './quarantine.ts';
+import { RateLimit } from './rate_limit.ts';
 import { ServiceTimeAverage } from './service_time_average.ts';
 import { TargetHealth } from './target_health.ts';
 import { SlowdownTracker } from './slowdown_tracker.ts';
@@ -78,7 +80,7 @@
   quarantine: Quarantine;
   /**
    * Period between probes of the target, in milliseconds. If absent, only a
-   * target that is down is probed.
+   * target that gets no calls is probed.
    */
   probePeriodMs: number | undefined;
   /** @returns Calls that the target may run concurrently, if the instance list states it. */
@@ -116,6 +118,7 @@
   #overLimitCount = 0;
   readonly #slowdownTracker: SlowdownTracker;
   readonly #notices: NoticeTracker;
+  readonly #rateLimit: RateLimit;
 
   /** @param options See {@linkcode GuardOptions}. */
   constructor(options: GuardOptions) {
@@ -135,7 +138,11 @@
       timer: options.timer,
       log: options.log,
       getTargetId: () => this.#health.targetId,
+      onChange: () => {
+        this.#applyNotice();
+      },
     });
+    this.#rateLimit = new RateLimit(options.timer);
     this.#slowdownTracker = new SlowdownTracker(options.timer);
     this.#queue = new AdmissionQueue(options.timer, () => this.#readAdmissionLimits());
     this.#ledger = new AttemptLedger(options.timer);
@@ -147,6 +154,7 @@
       notices: this.#notices,
       periodMs: options.probePeriodMs,
       getPath: () => options.getPool()?.healthPath,
+      isBlocked: () => this.#isBlocked,
       isUrgent: () => this.#health.getStage(this.#limit.current) !== TargetStage.Warm,
       onCheck: () => {
         this.#queue.admitQueued();
@@ -162,8 +170,12 @@
       limit: this.#readLimit(),
       queued: this.#queue.queued,
       serviceMs: this.#serviceTime.meanMs,
-      stage: this.#health.getStage(this.#limit.current),
+      stage:
+        notice?.isLeaving === true
+          ? TargetStage.Leaving
+          : this.#health.getStage(this.#limit.current),
       ...(notice && { notice }),
+      ...(this.#rateLimit.isActive && { startDelayMs: this.#startDelayMs }),
     };
   }
 
@@ -200,6 +212,16 @@
     this.#queue.refuseQueued(refusal);
   }
 
+  /**
+   * Records a notice of the target that a peer has received. A guard that has restarted knows
+   * nothing of it until the target answers.
+   *
+   * @param notice The notice.
+   */
+  recordPeerNotice(notice: TargetNotice): void {
+    this.#notices.recordPeerNotice(notice);
+  }
+
   /** Replaces the concurrency limit if the number of slots has changed. */
   updateSlots(): void {
     const slots = this.#readSlots();
@@ -239,6 +261,7 @@
         'calls like this one coincided with target crashes',
       );
     }
+    if (this.#notices.notice?.isLeaving === true) return makeTargetLeavingRefusal();
     if (this.#health.isDown)
       return makeNotRunRefusal(RefusalReason.TargetDown, 'the target is not listening');
     return this.#options.checkAdmission(attempt, phase);
@@ -273,7 +296,9 @@
 
   async #admit(attempt: Attempt, id?: AttemptId): Promise<AttemptResult> {
     const { route, deadline, signal } = attempt.call;
-    const acquired = await this.#queue.acquire({ weight: route.weight, deadline, signal });
+    const { weight } = route;
+    const { acceptsDelay } = attempt;
+    const acquired = await this.#queue.acquire({ weight, deadline, signal, acceptsDelay });
     if (acquired.isErr()) return this.#refuse(attempt, acquired.error);
     await this.#prober.refreshSlowdown();
     const refusal =
@@ -281,17 +306,33 @@
       this.#checkSlowdown(attempt) ??
       this.#startUnlessFenced(id);
     if (refusal) {
-      this.#queue.release();
+      this.#releaseUnused();
       return this.#refuse(attempt, refusal);
     }
     return this.#execute(attempt);
   }
 
-  #checkSlowdown({ call, acceptsSlowTarget }: Attempt): Refusal | undefined {
-    if (
-      acceptsSlowTarget ||
-      !this.#slowdownTracker.isTooSlowFor(call.route.name, call.objective.leftMs)
-    )
+  /** Releases a slot whose call was not sent to the target. */
+  #releaseUnused(): void {
+    this.#rateLimit.undoStart();
+    this.#queue.release();
+  }
+
+  get #isBlocked(): boolean {
+    const { notice } = this.#notices;
+    return this.#health.isDown || notice?.isLeaving === true || notice?.maxCallsPerSecond === 0;
+  }
+
+  #applyNotice(): void {
+    const { notice } = this.#notices;
+    this.#rateLimit.setRate(notice?.maxCallsPerSecond);
+    if (notice?.isLeaving === true) this.#queue.refuseQueued(makeTargetLeavingRefusal());
+    this.#queue.refuseLate();
+    this.#queue.admitQueued();
+  }
+
+  #checkSlowdown({ call, acceptsDelay }: Attempt): Refusal | undefined {
+    if (acceptsDelay || !this.#slowdownTracker.isTooSlowFor(call.route.name, call.objective.leftMs))
       return undefined;
     const detail = `work takes ${this.#slowdownTracker.slowdown} times as long as usual at the target`;
     return makeNotRunRefusal(RefusalReason.TargetSlow, detail);
@@ -316,7 +357,8 @@
     }
     if (result.isErr()) {
       executionLimit.expiry.cancel();
-      this.#queue.release();
+      if (result.error.kind === TargetFailureKind.NotSent) this.#releaseUnused();
+      else this.#queue.release();
       return this.#toAttemptResult(result.error);
     }
     if (result.value.shed) {
@@ -468,6 +510,12 @@
     return err(failure);
   }
 
+  /** Time until the target's rate permits another call to start behind the queued ones. */
+  get #startDelayMs(): number {
+    const { startDelayMs, startIntervalMs } = this.#rateLimit;
+    return startDelayMs + this.#queue.queued * startIntervalMs;
+  }
+
   #readLimit(): number {
     return this.#warmUp.getLimit(this.#limit.current, this.#queue.inFlight);
   }
@@ -479,8 +527,11 @@
       queueLength: pool?.queueLength ?? 0,
       queueWaitMs: pool?.queueWaitMs ?? 0,
       serviceMs: this.#serviceTime.meanMs,
+      startDelayMs: this.#rateLimit.startDelayMs,
+      startIntervalMs: this.#rateLimit.startIntervalMs,
       onAdmit: () => {
         this.#warmUp.recordAdmission();
+        this.#rateLimit.recordStart();
       },
     };
   }
@@ -490,6 +541,10 @@
   }
 }
 
+function makeTargetLeavingRefusal(): Refusal {
+  return makeNotRunRefusal(RefusalReason.Leaving, 'the target says that it is leaving');
+}
+
 /** Load state of a target whose daemon accepts no calls. */
 export const LEAVING_LOAD: LoadState = {
   inFlight: 0,
--- a/guard/notice_tracker.ts
+++ b/guard/notice_tracker.ts
@@ -10,16 +10,20 @@
   /** Answer to a call that a process at the target's address shed, perhaps not the target's. */
   Shed = 'shed',
   Probe = 'probe',
+  /** A peer that had received the notice before this daemon started. */
+  Peer = 'peer',
   /** The target's process has ended. */
   Restart = 'restart',
 }
 
-/** A statement, and when the message that it answers was sent. */
+/** A statement in an answer of the target. */
 export interface ReceivedStatement {
   statement: TargetStatement;
-  /** When the call or probe was sent, in milliseconds. */
+  /** When the call or probe that is answered was sent, in milliseconds. */
   sentAtMs: number;
   source: NoticeSource;
+  /** Whether the answer is the report of a healthy target. */
+  isHealthy?: boolean;
 }
 
 /** Options of {@linkcode NoticeTracker}. */
@@ -29,14 +33,19 @@
   log: EventLog;
   /** @returns ID of the target's process, if known. */
   getTargetId: () => string | undefined;
+  /** Called after each change of the notice. */
+  onChange: () => void;
 }
 
 /** Tracks what the target asks of its callers, from the statements in its messages. */
 export class NoticeTracker {
   readonly #options: NoticeTrackerOptions;
   #maxCallsPerSecond: number | undefined;
-  #namedAtMs = -Infinity;
+  #noticedAtMs = -Infinity;
   #isLeaving = false;
+  /** Whether the notice in force is only known from a peer. */
+  #isFromPeer = false;
+  #hasOwnStatement = false;
   #malformedText: string | undefined;
 
   /** @param options See {@linkcode NoticeTrackerOptions}. */
@@ -61,31 +70,57 @@
    *
    * @param received The statement and when it was asked for.
    */
-  record({ statement, sentAtMs, source }: ReceivedStatement): void {
+  record({ statement, sentAtMs, source, isHealthy }: ReceivedStatement): void {
     const before = this.notice;
-    const endsRate = source !== NoticeSource.Shed && sentAtMs > this.#namedAtMs;
-    this.#recordRate(statement.rate, endsRate);
-    this.#isLeaving ||= statement.isLeaving;
-    this.#logChange(before, source);
+    // An answer to an earlier call may have been overtaken by the one that gave the notice.
+    const isCurrent = source !== NoticeSource.Shed && sentAtMs > this.#noticedAtMs;
+    if (isCurrent && this.#isFromPeer) this.#clear();
+    this.#recordRate(statement.rate, isCurrent);
+    // A process that leaves says so until it ends; a new one may have its ID.
+    if (isCurrent && isHealthy === true) this.#isLeaving = false;
+    if (statement.isLeaving) this.#isLeaving = true;
+    this.#hasOwnStatement ||= source !== NoticeSource.Shed;
+    this.#reportChange(before, source);
+  }
+
+  /**
+   * Records a notice that a peer has received. It applies until the target itself has answered.
+   *
+   * @param notice The notice.
+   */
+  recordPeerNotice(notice: TargetNotice): void {
+    const targetId = this.#options.getTargetId();
+    const isOther = targetId !== undefined && notice.targetId !== targetId;
+    if (this.#hasOwnStatement || isOther) return;
+    const before = this.notice;
+    this.#isFromPeer = true;
+    this.#noticedAtMs = this.#options.timer.now();
+    this.#maxCallsPerSecond = notice.maxCallsPerSecond;
+    this.#isLeaving = notice.isLeaving;
+    this.#reportChange(before, NoticeSource.Peer);
   }
 
   /** Records that the target's process has ended; what it has asked no longer applies. */
   recordRestart(): void {
     const before = this.notice;
+    this.#clear();
+    this.#reportChange(before, NoticeSource.Restart);
+  }
+
+  #clear(): void {
     this.#maxCallsPerSecond = undefined;
     this.#isLeaving = false;
-    this.#logChange(before, NoticeSource.Restart);
+    this.#isFromPeer = false;
   }
 
-  #recordRate(rate: StatedRate, endsRate: boolean): void {
+  #recordRate(rate: StatedRate, isCurrent: boolean): void {
     switch (rate.kind) {
       case StatedRateKind.Named:
         this.#maxCallsPerSecond = rate.perSecond;
-        this.#namedAtMs = this.#options.timer.now();
+        this.#noticedAtMs = this.#options.timer.now();
         break;
       case StatedRateKind.None:
-        // An answer to an earlier call may have been overtaken by the one that named the rate.
-        if (endsRate) this.#maxCallsPerSecond = undefined;
+        if (isCurrent) this.#maxCallsPerSecond = undefined;
         break;
       case StatedRateKind.Malformed:
         this.#logMalformed(rate.text);
@@ -102,7 +137,7 @@
     });
   }
 
-  #logChange(before: TargetNotice | undefined, source: NoticeSource): void {
+  #reportChange(before: TargetNotice | undefined, source: NoticeSource): void {
     const after = this.notice;
     const isUnchanged =
       before?.maxCallsPerSecond === after?.maxCallsPerSecond &&
@@ -114,5 +149,6 @@
       leaving: after?.isLeaving ?? false,
       source,
     });
+    this.#options.onChange();
   }
 }
--- a/guard/target_prober.ts
+++ b/guard/target_prober.ts
@@ -8,7 +8,7 @@
 const URGENT_PERIOD_MS = 250;
 /** Interval of the check whether a probe is due, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
-/** Period between probes of a target that is down if no period is set, in milliseconds. */
+/** Period between probes of a target that gets no calls if no period is set, in milliseconds. */
 const DOWN_PERIOD_MS = 1_000;
 /** Age above which a reported slowdown is refreshed, in milliseconds. */
 const SLOWDOWN_MAX_AGE_MS = 40;
@@ -22,10 +22,12 @@
   health: TargetHealth;
   slowdown: SlowdownTracker;
   notices: NoticeTracker;
-  /** Period between probes, in milliseconds; if absent, only a target that is down is probed. */
+  /** Period between probes, in milliseconds; if absent, only a target that gets no calls is probed. */
   periodMs: number | undefined;
   /** @returns Path of the health endpoint, if the configuration has one. */
   getPath: () => string | undefined;
+  /** @returns Whether no calls are sent whose answers would show that the target accepts them again. */
+  isBlocked: () => boolean;
   /** @returns Whether the target is down or cold. */
   isUrgent: () => boolean;
   /** Called at each check and after each probe, since the target may accept calls again. */
@@ -67,8 +69,8 @@
 
   /** Time from the last probe to the next one, in milliseconds; infinite if no probe is needed. */
   get #delayMs(): number {
-    const { periodMs, health, isUrgent } = this.#options;
-    if (periodMs === undefined) return health.isDown ? 0 : Infinity;
+    const { periodMs, isBlocked, isUrgent } = this.#options;
+    if (periodMs === undefined) return isBlocked() ? 0 : Infinity;
     return isUrgent() ? Math.min(periodMs, URGENT_PERIOD_MS) : periodMs;
   }
 
@@ -81,14 +83,16 @@
   }
 
   async #probeOnce(): Promise<void> {
-    const { timer, port, health, slowdown, notices, periodMs, getPath, onCheck } = this.#options;
+    const { timer, port, health, slowdown, notices, periodMs, getPath, isBlocked, onCheck } =
+      this.#options;
     const sentAtMs = timer.now();
     this.#probedAtMs = sentAtMs;
     const report = await port.probe(getPath());
     slowdown.recordReport(report?.load);
-    if (report || periodMs !== undefined) health.recordProbe(report);
+    if (report || periodMs !== undefined || isBlocked()) health.recordProbe(report);
     if (report) {
-      notices.record({ statement: report.statement, sentAtMs, source: NoticeSource.Probe });
+      const { statement, isHealthy } = report;
+      notices.record({ statement, sentAtMs, source: NoticeSource.Probe, isHealthy });
     }
     onCheck();
   }
--- a/guard/unbounded_answer_test.ts
+++ b/guard/unbounded_answer_test.ts
@@ -78,7 +78,7 @@
     sequence: 1,
     receiverRole: ReceiverRole.Guard,
     fingerprint: undefined,
-    acceptsSlowTarget: false,
+    acceptsDelay: false,
     call: makeExampleCall(timer, { route: { ...ROUTE, repeatability } }),
   };
 }
--- a/guard/warm_up.ts
+++ b/guard/warm_up.ts
@@ -1,4 +1,5 @@
 import type { TimerService } from '../timer/mod.ts';
+import { TokenBucket } from './token_bucket.ts';
 
 /** Options of {@linkcode WarmUp}. */
 export interface WarmUpOptions {
@@ -14,7 +15,6 @@
 const ANSWERS_PER_STEP = 3;
 /** Largest burst of calls to a cold target whose rate is limited. */
 const COLD_BURST = 2;
-const MS_PER_SECOND = 1_000;
 
 /**
  * Limits the calls to a target after a cold start. The limit starts at the cold
@@ -28,8 +28,7 @@
   #coldUntilMs = Infinity;
   #limit: number;
   #answers = 0;
-  #tokens = COLD_BURST;
-  #refilledAtMs: number;
+  readonly #bucket: TokenBucket;
 
   /**
    * @param timer The clock.
@@ -39,7 +38,7 @@
     this.#timer = timer;
     this.#getOptions = getOptions;
     this.#startedAtMs = timer.now();
-    this.#refilledAtMs = this.#startedAtMs;
+    this.#bucket = new TokenBucket(timer, COLD_BURST);
     this.#limit = getOptions().coldSlots;
   }
 
@@ -69,8 +68,8 @@
     const { coldPerSecond } = this.#getOptions();
     if (coldPerSecond === undefined) return Math.min(warmLimit, this.#limit);
     if (!this.isCold(warmLimit)) return warmLimit;
-    this.#refillTokens(coldPerSecond);
-    return Math.min(warmLimit, inFlight + Math.floor(this.#tokens));
+    this.#bucket.refill({ perSecond: coldPerSecond, capacity: COLD_BURST });
+    return Math.min(warmLimit, inFlight + Math.floor(this.#bucket.tokens));
   }
 
   /**
@@ -84,7 +83,7 @@
 
   /** Counts an admitted call. */
   recordAdmission(): void {
-    this.#tokens = Math.max(0, this.#tokens - 1);
+    this.#bucket.take();
   }
 
   /**
@@ -107,11 +106,4 @@
     this.#limit += 1;
     this.#answers = 0;
   }
-
-  #refillTokens(perSecond: number): void {
-    const nowMs = this.#timer.now();
-    const added = ((nowMs - this.#refilledAtMs) * perSecond) / MS_PER_SECOND;
-    this.#tokens = Math.min(COLD_BURST, this.#tokens + added);
-    this.#refilledAtMs = nowMs;
-  }
 }
--- a/link/call_frames.ts
+++ b/link/call_frames.ts
@@ -41,7 +41,7 @@
     headers: flattenHeaders(call.headers),
     leftMs: Math.round(call.deadline.leftMs),
     objectiveLeftMs: Math.round(call.objective.leftMs),
-    insists: attempt.acceptsSlowTarget,
+    insists: attempt.acceptsDelay,
     depth: call.depth,
     key: selectKey(call),
     fingerprint: attempt.fingerprint ?? null,
@@ -103,7 +103,7 @@
     receiverRole: frame.leg,
     call,
     fingerprint: frame.fingerprint ?? undefined,
-    acceptsSlowTarget: frame.insists,
+    acceptsDelay: frame.insists,
   };
 }
 
--- a/link/frame.ts
+++ b/link/frame.ts
@@ -6,6 +6,7 @@
   LoadState,
   Outcome,
   RefusalReason,
+  TargetNotice,
 } from '../contract/mod.ts';
 
 /** Kinds of frames between daemons. The numbers are part of the protocol. */
@@ -43,10 +44,12 @@
   HandoverAck = 17,
   /** Reports a call that was in flight when a target crashed. */
   CrashSuspect = 18,
+  /** Repeats what the receiver's target has asked of its callers, which a restarted guard has lost. */
+  TargetNotice = 19,
 }
 
 /** Version of the protocol; peers with another version are rejected. */
-export const PROTOCOL_VERSION = 4;
+export const PROTOCOL_VERSION = 5;
 
 export interface HelloFrame {
   kind: FrameKind.Hello;
@@ -192,6 +195,11 @@
   instanceId: string;
 }
 
+export interface TargetNoticeFrame {
+  kind: FrameKind.TargetNotice;
+  notice: TargetNotice;
+}
+
 /** A frame between daemons; one message holds one or more. */
 export type Frame =
   | HelloFrame
@@ -211,4 +219,5 @@
   | DocumentFrame
   | HandoverFrame
   | HandoverAckFrame
-  | CrashSuspectFrame;
+  | CrashSuspectFrame
+  | TargetNoticeFrame;
--- a/link/frame_layout.ts
+++ b/link/frame_layout.ts
@@ -17,7 +17,7 @@
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
-function isRate(value: unknown): boolean {
+function isNonNegative(value: unknown): boolean {
   return isNumber(value) && (value as number) >= 0;
 }
 
@@ -44,7 +44,7 @@
 
 const isNotice = hasFields({
   targetId: orAbsent(isText),
-  maxCallsPerSecond: orAbsent(isRate),
+  maxCallsPerSecond: orAbsent(isNonNegative),
   isLeaving: isFlag,
 });
 
@@ -55,6 +55,7 @@
   serviceMs: isNumber,
   stage: isOneOf(TargetStage),
   notice: orAbsent(isNotice),
+  startDelayMs: orAbsent(isNonNegative),
 });
 
 const isHandoverAnswer = hasFields({
@@ -175,6 +176,7 @@
     ['incarnation', isText],
     ['accepted', isFlag],
   ],
+  [FrameKind.TargetNotice]: [['notice', isNotice]],
   [FrameKind.CrashSuspect]: [
     ['fingerprint', isText],
     ['instanceId', isText],
--- a/link/problem.ts
+++ b/link/problem.ts
@@ -23,6 +23,7 @@
   [RefusalReason.Leaving]: 503,
   [RefusalReason.NotReady]: 503,
   [RefusalReason.TargetBusy]: 503,
+  [RefusalReason.TargetRateLimited]: 503,
   [RefusalReason.TargetShed]: 503,
   [RefusalReason.TargetSlow]: 503,
   [RefusalReason.TargetDown]: 503,
--- a/placement/expected_cost_picker.ts
+++ b/placement/expected_cost_picker.ts
@@ -15,6 +15,8 @@
 };
 /** Cost added for a target that is avoided after failures, in milliseconds. */
 const OUTLIER_COST_MS = 1_000;
+/** Probability that other entries have used up the rate of a target that has named one. */
+const RATE_REFUSAL_PROBABILITY = 0.5;
 /** Cost of a call at a fully utilized target, as a share of the execution time. */
 const UTILIZATION_COST_SHARE = 0.5;
 
@@ -63,5 +65,7 @@
   const utilizationCostMs = utilization * view.serviceMs * UTILIZATION_COST_SHARE;
   const stallCostMs = Math.max(0, view.oldestAttemptAgeMs - 4 * view.serviceMs);
   const outlierCostMs = view.isOutlier ? OUTLIER_COST_MS : 0;
-  return roundTripMs + view.expectedWaitMs + utilizationCostMs + stallCostMs + outlierCostMs;
+  const refusalCostMs = view.isRateLimited ? RATE_REFUSAL_PROBABILITY * roundTripMs : 0;
+  const delayCostMs = view.expectedWaitMs + utilizationCostMs + stallCostMs;
+  return roundTripMs + delayCostMs + outlierCostMs + refusalCostMs;
 }
--- a/placement/target_view.ts
+++ b/placement/target_view.ts
@@ -1,4 +1,4 @@
-import { TargetStage, type LoadState } from '../contract/mod.ts';
+import { TargetStage, type LoadState, type TargetNotice } from '../contract/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 
 /** Time constant with which the weight of a reported load decays, in milliseconds. */
@@ -12,6 +12,7 @@
 const PENALTY_MAX_MS = 5_000;
 /** Time for which a target counts as unavailable after its guard reported so, in milliseconds. */
 const UNAVAILABLE_HOLD_MS = 500;
+const MS_PER_SECOND = 1_000;
 /** Number of recent attempts among which errors are counted. */
 const ERROR_WINDOW = 16;
 /** Errors among the last {@linkcode ERROR_WINDOW} attempts that make a target an outlier. */
@@ -36,6 +37,8 @@
   #load: LoadState | undefined;
   #loadAtMs = 0;
   #outstandingAtLoad = 0;
+  /** Number of own attempts that began after the last reported load. */
+  #startsSinceLoad = 0;
   #roundTripMs: number | undefined;
   #failures = 0;
   #avoidUntilMs = 0;
@@ -51,6 +54,7 @@
   get isUnavailable(): boolean {
     const stage = this.#load?.stage;
     if (this.#timer.now() - this.#loadAtMs > UNAVAILABLE_HOLD_MS) return false;
+    if (this.notice?.maxCallsPerSecond === 0) return true;
     return stage === TargetStage.Leaving || stage === TargetStage.Down;
   }
 
@@ -88,6 +92,11 @@
     return this.outstanding + Math.max(0, others) * Math.exp(-ageMs / LOAD_DECAY_MS);
   }
 
+  /** @returns What the target asked of its callers when it last answered, if anything. */
+  get notice(): TargetNotice | undefined {
+    return this.#load?.notice;
+  }
+
   /** @returns Number of calls that the target may run concurrently, if reported by its guard. */
   get limit(): number | undefined {
     return this.#load?.limit;
@@ -97,7 +106,23 @@
   get expectedWaitMs(): number {
     const limit = this.limit ?? 1;
     const ahead = Math.max(0, this.expectedCalls + 1 - limit);
-    return (ahead * this.serviceMs) / Math.max(1, limit);
+    const slotWaitMs = (ahead * this.serviceMs) / Math.max(1, limit);
+    return Math.max(slotWaitMs, this.#rateWaitMs);
+  }
+
+  /** @returns Whether the target has named a rate of calls that it takes. */
+  get isRateLimited(): boolean {
+    return this.notice?.maxCallsPerSecond !== undefined;
+  }
+
+  /** Expected time until the rate that the target has named permits a new call to start. */
+  get #rateWaitMs(): number {
+    const { notice, startDelayMs = 0 } = this.#load ?? {};
+    const { maxCallsPerSecond = 0 } = notice ?? {};
+    if (maxCallsPerSecond === 0) return 0;
+    const ageMs = this.#timer.now() - this.#loadAtMs;
+    const ownStartsMs = (this.#startsSinceLoad * MS_PER_SECOND) / maxCallsPerSecond;
+    return Math.max(0, startDelayMs + ownStartsMs - ageMs);
   }
 
   /**
@@ -108,6 +133,7 @@
   beginAttempt(): (outcome: ObservedOutcome) => void {
     const start = { atMs: this.#timer.now() };
     this.outstanding += 1;
+    this.#startsSinceLoad += 1;
     this.#starts.add(start);
     return (outcome) => {
       if (!this.#starts.delete(start)) return;
@@ -126,6 +152,7 @@
     this.#load = load;
     this.#loadAtMs = this.#timer.now();
     this.#outstandingAtLoad = this.outstanding;
+    this.#startsSinceLoad = 0;
     const roundTripMs = Math.max(0, elapsedMs - load.serviceMs);
     const previous = this.#roundTripMs ?? roundTripMs;
     this.#roundTripMs = previous + SAMPLE_WEIGHT * (roundTripMs - previous);
--- a/settings/settings.ts
+++ b/settings/settings.ts
@@ -44,7 +44,7 @@
     url,
     healthPath: z.string().startsWith('/').default('/health'),
     connections: z.int().min(1).default(64),
-    /** Milliseconds between health probes; if absent, only a target that is down is probed. */
+    /** Milliseconds between health probes; if absent, only a target that gets no calls is probed. */
     probePeriodMs: z.number().positive().optional(),
   }),
   platform: z.strictObject({
