An answer that is sent again is not taken for that of a later call, whatever it says

A target on a kept connection wrote an earlier refusal once more while it ran the next call. Cause: an answer without an identifier counted as attributed, and a copy that was complete left its connection in use. The same held for 421, 400, 500, 504 and a success, and a probe took any answer for its report, so that a cold target could count as warm.

The dialect now decides whether an answer is the call's: on the platform it must name the identifier that was sent; on the product's own interface a target is told the identifier (rhubarbkeel-call), may name it, and must when it sheds. A probe's report names its target and no call. The head is checked in the client library's handler, so a rejected answer closes its connection. The outcome is unknown, never not run.

--- a/link/default_dialect.ts
+++ b/link/default_dialect.ts
@@ -15,6 +15,7 @@
   readonly reservedHeaders: ReadonlySet<string> = new Set<string>([
     HeaderName.Deadline,
     HeaderName.Depth,
+    HeaderName.CallId,
   ]);
 
   readCallerHeaders(header: HeaderReader): CallerHeaderFields {
@@ -27,13 +28,16 @@
     };
   }
 
-  toTargetHeaders({ leftMs }: TargetRequest): readonly (readonly [string, string])[] {
-    return [[HeaderName.Deadline, String(Math.max(1, Math.floor(leftMs)))]];
+  toTargetHeaders({ callId, leftMs }: TargetRequest): readonly (readonly [string, string])[] {
+    return [
+      [HeaderName.Deadline, String(Math.max(1, Math.floor(leftMs)))],
+      [HeaderName.CallId, callId],
+    ];
   }
 
   readTargetHeaders(_status: number, header: HeaderReader): TargetHeaderFields {
     return {
-      callId: undefined,
+      callId: header(HeaderName.CallId),
       targetId: header(HeaderName.TargetIncarnation),
       shed: header(HeaderName.TargetShed) !== undefined,
       isAuthentic: true,
@@ -43,6 +47,15 @@
     };
   }
 
+  /** A target need not name the call in an answer, unless it says that it has not run it. */
+  isAnswerTo({ callId }: TargetRequest, fields: TargetHeaderFields): boolean {
+    return fields.callId === undefined ? !fields.shed : fields.callId === callId;
+  }
+
+  isProbeReport({ callId, shed }: TargetHeaderFields): boolean {
+    return callId === undefined && !shed;
+  }
+
   toAnswerHeaders(callId: string, nextKey: string | undefined): Record<string, string> {
     const headers: Record<string, string> = { [HeaderName.CallId]: callId };
     if (nextKey !== undefined) headers[HeaderName.IdempotencyKey] = nextKey;
--- a/link/http_dialect.ts
+++ b/link/http_dialect.ts
@@ -56,6 +56,22 @@
    * @returns The fields of the answer.
    */
   readTargetHeaders(status: number, header: HeaderReader): TargetHeaderFields;
+  /**
+   * Checks that an answer is attributed to the call for which it was read. A target may repeat an
+   * earlier answer where that of a later call is due.
+   *
+   * @param req The call.
+   * @param fields Fields of the answer.
+   * @returns Whether the answer is the call's.
+   */
+  isAnswerTo(req: TargetRequest, fields: TargetHeaderFields): boolean;
+  /**
+   * Checks that an answer is the report of a health probe, and none to a call.
+   *
+   * @param fields Fields of the answer.
+   * @returns Whether it is a report.
+   */
+  isProbeReport(fields: TargetHeaderFields): boolean;
   /**
    * Makes the headers that are sent to the caller in addition to the target's.
    *
--- a/link/metered_client.ts
+++ b/link/metered_client.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net';
-import { Client, Pool, buildConnector, errors, type Dispatcher } from 'undici';
+import { Client, Pool, buildConnector, errors, util, type Dispatcher } from 'undici';
 
 /** Largest header section of an answer, in bytes; the library's default. */
 const MAX_HEADER_BYTES = 16_384;
@@ -12,6 +12,29 @@
 /** Additional bytes for each byte of content, as in chunks of a single byte. */
 const OVERHEAD_PER_CONTENT_BYTE = 16;
 
+/** Lowest status of an answer that is not interim. */
+const FINAL_STATUS = 200;
+
+/** Status and headers of an answer. */
+export interface AnswerHead {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+}
+
+/** Options of a request whose answer is checked before its connection may serve another one. */
+export type CheckedRequestOptions = Dispatcher.RequestOptions & {
+  /**
+   * Checks the head of the answer.
+   *
+   * @param head The head.
+   * @returns Why the answer is rejected; `undefined` if it is accepted.
+   */
+  checkHead: (head: AnswerHead) => string | undefined;
+};
+
+/** Thrown when the head of an answer is rejected; its connection is closed. */
+export class RejectedHeadError extends Error {}
+
 /** A {@linkcode Pool} whose connections are {@linkcode MeteredClient}s. */
 export class MeteredPool extends Pool {
   /**
@@ -55,10 +78,11 @@
   }
 
   override dispatch(
-    options: Dispatcher.DispatchOptions,
+    options: Dispatcher.DispatchOptions & Partial<CheckedRequestOptions>,
     handler: Dispatcher.DispatchHandlers,
   ): boolean {
-    return super.dispatch(options, new MeteredHandler(handler, this.#meter));
+    const { checkHead } = options;
+    return super.dispatch(options, new MeteredHandler(handler, { meter: this.#meter, checkHead }));
   }
 }
 
@@ -120,15 +144,23 @@
   return new errors.SocketError(`expected an answer, got ${bytes} bytes that are none`);
 }
 
-/** Reports the start, the content and the completion of a call to a meter. */
+/** Options of {@linkcode MeteredHandler}. */
+interface MeteredHandlerOptions {
+  meter: ReadMeter;
+  checkHead: CheckedRequestOptions['checkHead'] | undefined;
+}
+
+/** Reports the start, the content and the completion of a call to a meter, and checks the answer's head. */
 class MeteredHandler implements Dispatcher.DispatchHandlers {
   readonly #inner: Dispatcher.DispatchHandlers;
   readonly #meter: ReadMeter;
+  readonly #checkHead: MeteredHandlerOptions['checkHead'];
   #abort: ((error?: Error) => void) | undefined;
 
-  constructor(inner: Dispatcher.DispatchHandlers, meter: ReadMeter) {
+  constructor(inner: Dispatcher.DispatchHandlers, { meter, checkHead }: MeteredHandlerOptions) {
     this.#inner = inner;
     this.#meter = meter;
+    this.#checkHead = checkHead;
   }
 
   onConnect(abort: (err?: Error) => void): void {
@@ -143,9 +175,19 @@
       this.#abort?.(makeExcessBytesError(bytes));
       return false;
     }
+    const problem = this.#findProblem(status, headers);
+    if (problem !== undefined) {
+      this.#abort?.(new RejectedHeadError(problem));
+      return false;
+    }
     return this.#inner.onHeaders?.(status, headers, resume, text) ?? true;
   }
 
+  #findProblem(status: number, headers: Buffer[]): string | undefined {
+    if (status < FINAL_STATUS) return undefined;
+    return this.#checkHead?.({ status, headers: util.parseHeaders(headers) });
+  }
+
   onData(chunk: Buffer): boolean {
     this.#meter.recordContent(chunk.length);
     return this.#inner.onData?.(chunk) ?? true;
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -19,8 +19,13 @@
 } from '../guard/mod.ts';
 import { toBody } from './caller_server.ts';
 import { removeHopByHopHeaders } from './headers.ts';
-import type { HeaderReader, HttpDialect } from './http_dialect.ts';
-import { MeteredPool } from './metered_client.ts';
+import type { HeaderReader, HttpDialect, TargetHeaderFields } from './http_dialect.ts';
+import {
+  MeteredPool,
+  RejectedHeadError,
+  type AnswerHead,
+  type CheckedRequestOptions,
+} from './metered_client.ts';
 import { DefaultDialect } from './default_dialect.ts';
 
 /** Answers up to this size are buffered before they are forwarded, in bytes. */
@@ -74,15 +79,16 @@
 
   async run(req: TargetRequest): Promise<Result<TargetAnswer, TargetFailure>> {
     try {
-      const options: Dispatcher.RequestOptions = {
+      const options: CheckedRequestOptions = {
         method: req.method as Dispatcher.HttpMethod,
         path: req.pathAndQuery,
         headers: this.#makeRequestHeaders(req),
         body: toRequestBody(req.body),
         signal: req.signal,
+        checkHead: (head) => this.#findProblem(req, head),
       };
       const res: Dispatcher.ResponseData = await this.#pool.request(options);
-      return await this.#toAnswer(req, res);
+      return await this.#toAnswer(res);
     } catch (error) {
       return err(toFailure(error, req.signal));
     }
@@ -90,16 +96,16 @@
 
   async probe(path?: string): Promise<ProbeReport | undefined> {
     try {
-      const res = await this.#pool.request({
+      const options: CheckedRequestOptions = {
         method: 'GET',
         path: path ?? this.#healthPath,
         signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
-      });
+        checkHead: (head) =>
+          this.#dialect.isProbeReport(this.#readHead(head)) ? undefined : 'not a report',
+      };
+      const res: Dispatcher.ResponseData = await this.#pool.request(options);
       await res.body.dump();
-      const { targetId, coldMs, load, statement } = this.#dialect.readTargetHeaders(
-        res.statusCode,
-        makeHeaderReader(res),
-      );
+      const { targetId, coldMs, load, statement } = this.#readHead(toHead(res));
       return { isHealthy: res.statusCode < 500, targetId, coldMs, load, statement };
     } catch {
       return undefined;
@@ -133,20 +139,21 @@
     return [...kept, ...this.#dialect.toTargetHeaders(req)].flat();
   }
 
-  async #toAnswer(
-    req: TargetRequest,
-    res: Dispatcher.ResponseData,
-  ): Promise<Result<TargetAnswer, TargetFailure>> {
+  #readHead({ status, headers }: AnswerHead): TargetHeaderFields {
+    return this.#dialect.readTargetHeaders(status, makeHeaderReader(headers));
+  }
+
+  /** Finds out why an answer does not count as the call's, if it does not. */
+  #findProblem(req: TargetRequest, head: AnswerHead): string | undefined {
+    const fields = this.#readHead(head);
+    if (!this.#dialect.isAnswerTo(req, fields))
+      return `status ${head.status} for call "${fields.callId ?? ''}"`;
+    return fields.isAuthentic ? undefined : `status ${head.status} unsigned`;
+  }
+
+  async #toAnswer(res: Dispatcher.ResponseData): Promise<Result<TargetAnswer, TargetFailure>> {
     const { statusCode: status } = res;
-    const fields = this.#dialect.readTargetHeaders(status, makeHeaderReader(res));
-    const isForOtherCall = fields.callId !== undefined && fields.callId !== req.callId;
-    if (isForOtherCall || !fields.isAuthentic) {
-      destroyQuietly(res.body);
-      const detail = isForOtherCall
-        ? `answer to call ${fields.callId ?? ''}`
-        : `status ${status} unsigned`;
-      return err({ kind: TargetFailureKind.MalformedAnswer, detail });
-    }
+    const fields = this.#readHead(toHead(res));
     const { targetId, shed, load: reported, statement } = fields;
     const resetsBefore = this.#resetCount;
     const body = await bufferSmallBody(res.body);
@@ -229,9 +236,13 @@
   }
 }
 
-function makeHeaderReader(res: Dispatcher.ResponseData): HeaderReader {
+function toHead({ statusCode, headers }: Dispatcher.ResponseData): AnswerHead {
+  return { status: statusCode, headers };
+}
+
+function makeHeaderReader(headers: AnswerHead['headers']): HeaderReader {
   return (name) => {
-    const value = res.headers[name];
+    const value = headers[name];
     return Array.isArray(value) ? value[0] : value;
   };
 }
@@ -249,6 +260,8 @@
   const detail = `${code ?? 'error'}: ${message ?? 'no message'}`;
   if (error instanceof RequestTruncatedError)
     return { kind: TargetFailureKind.RequestTruncated, detail };
+  if (error instanceof RejectedHeadError)
+    return { kind: TargetFailureKind.MalformedAnswer, detail: message ?? '' };
   if (code !== undefined && NOT_SENT_CODES.has(code))
     return { kind: TargetFailureKind.NotSent, detail };
   const kind = signal.aborted ? TargetFailureKind.Cancelled : TargetFailureKind.ConnectionLost;
--- a/link/target_client_test.ts
+++ b/link/target_client_test.ts
@@ -91,7 +91,10 @@
     targetId: 'i-1',
     method: 'GET',
     pathAndQuery: '/boards/3?x=%2F..',
-    headers: [['host', 'clubs.example']],
+    headers: [
+      ['host', 'clubs.example'],
+      ['request-id', CALL_ID],
+    ],
     body: EMPTY_BODY,
     leftMs: 1_000,
     signal: AbortSignal.timeout(2_000),
--- a/link/unbounded_answer_test.ts
+++ b/link/unbounded_answer_test.ts
@@ -8,6 +8,8 @@
 
 const CALL_ID = '9c41';
 const OWN_HEADERS = `Request-Id: ${CALL_ID}\r\nResponse-Signature: 3e1b\r\n`;
+/** Header that tells the report of a probe from an answer to a call. */
+const REPORT_HEADER = 'Instance-Id: i-1';
 const GOOD_ANSWER = `HTTP/1.1 200 OK\r\n${OWN_HEADERS}Content-Length: 4\r\n\r\ngood`;
 const CHUNKED_HEADERS = `HTTP/1.1 200 OK\r\n${OWN_HEADERS}Transfer-Encoding: chunked\r\n\r\n`;
 const LETTERS = 'a'.repeat(16_384);
@@ -150,7 +152,10 @@
     targetId: 'i-1',
     method: 'GET',
     pathAndQuery: '/boards/3',
-    headers: [['host', 'clubs.example']],
+    headers: [
+      ['host', 'clubs.example'],
+      ['request-id', CALL_ID],
+    ],
     body: EMPTY_BODY,
     leftMs: CALL_MS,
     signal: AbortSignal.timeout(CALL_MS),
@@ -236,8 +241,10 @@
     const report = await client.probe();
     return report ? `healthy: ${report.isHealthy}` : 'no report';
   };
-  t.matchSnapshot(
-    await runFloods({ ...HEADER_FLOODS, ...BODY_FLOODS, ...TRAILING_FLOODS }, probe),
-    'probes',
-  );
+  const floods = Object.entries({ ...HEADER_FLOODS, ...BODY_FLOODS, ...TRAILING_FLOODS });
+  const reports = floods.map(([name, { begin, repeat }]): [string, Flood] => [
+    name,
+    { begin: begin.replace(/Request-Id: \S+/, REPORT_HEADER), repeat },
+  ]);
+  t.matchSnapshot(await runFloods(Object.fromEntries(reports), probe), 'probes');
 });
--- a/stand_in/target_stand_in.ts
+++ b/stand_in/target_stand_in.ts
@@ -131,7 +131,10 @@
       return;
     }
     if (this.behaviour.isDraining) {
-      res.writeHead(503, { [HeaderName.TargetShed]: 'draining' }).end();
+      const callId = String(req.headers[HeaderName.CallId]);
+      res
+        .writeHead(503, { [HeaderName.TargetShed]: 'draining', [HeaderName.CallId]: callId })
+        .end();
       return;
     }
     const body = await readBody(req);
