A large answer without a length that is reset midway is not passed as complete

Cause: the client library ends such a body as if complete on a reset; the check for it ran once, when the small part had been buffered. The reset is now checked at the end of each such body, on its own connection: before, a reset of any other connection failed the answer too.

--- a/link/metered_client.ts
+++ b/link/metered_client.ts
@@ -30,6 +30,12 @@
    * @returns Why the answer is rejected; `undefined` if it is accepted.
    */
   checkHead: (head: AnswerHead) => string | undefined;
+  /**
+   * Called before the request is sent.
+   *
+   * @param socket The connection over which it is sent.
+   */
+  onSocket?: (socket: Socket) => void;
 };
 
 /** Thrown when the head of an answer is rejected; its connection is closed. */
@@ -81,8 +87,9 @@
     options: Dispatcher.DispatchOptions & Partial<CheckedRequestOptions>,
     handler: Dispatcher.DispatchHandlers,
   ): boolean {
-    const { checkHead } = options;
-    return super.dispatch(options, new MeteredHandler(handler, { meter: this.#meter, checkHead }));
+    const { checkHead, onSocket } = options;
+    const meter = this.#meter;
+    return super.dispatch(options, new MeteredHandler(handler, { meter, checkHead, onSocket }));
   }
 }
 
@@ -98,6 +105,10 @@
   #bytesReadBefore = 0;
   #contentBytes = 0;
 
+  get socket(): Socket | undefined {
+    return this.#socket;
+  }
+
   attach(socket: Socket): void {
     this.#socket = socket;
     this.#isListening = false;
@@ -148,6 +159,7 @@
 interface MeteredHandlerOptions {
   meter: ReadMeter;
   checkHead: CheckedRequestOptions['checkHead'] | undefined;
+  onSocket: CheckedRequestOptions['onSocket'] | undefined;
 }
 
 /** Reports the start, the content and the completion of a call to a meter, and checks the answer's head. */
@@ -155,16 +167,22 @@
   readonly #inner: Dispatcher.DispatchHandlers;
   readonly #meter: ReadMeter;
   readonly #checkHead: MeteredHandlerOptions['checkHead'];
+  readonly #onSocket: MeteredHandlerOptions['onSocket'];
   #abort: ((error?: Error) => void) | undefined;
 
-  constructor(inner: Dispatcher.DispatchHandlers, { meter, checkHead }: MeteredHandlerOptions) {
+  constructor(
+    inner: Dispatcher.DispatchHandlers,
+    { meter, checkHead, onSocket }: MeteredHandlerOptions,
+  ) {
     this.#inner = inner;
     this.#meter = meter;
     this.#checkHead = checkHead;
+    this.#onSocket = onSocket;
   }
 
   onConnect(abort: (err?: Error) => void): void {
     this.#meter.begin();
+    if (this.#meter.socket) this.#onSocket?.(this.#meter.socket);
     this.#abort = abort;
     this.#inner.onConnect?.(abort);
   }
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -2,13 +2,7 @@
 import { Readable } from 'node:stream';
 import { err, ok, type Result } from 'neverthrow';
 import { buildConnector, type Dispatcher } from 'undici';
-import {
-  BufferedBody,
-  cancelBody,
-  type Body,
-  type BodyChunk,
-  type Headers,
-} from '../contract/mod.ts';
+import { BufferedBody, type Body, type BodyChunk, type Headers } from '../contract/mod.ts';
 import {
   TargetFailureKind,
   type ProbeReport,
@@ -53,8 +47,7 @@
   readonly #pool: MeteredPool;
   readonly #healthPath: string;
   readonly #dialect: HttpDialect;
-  /** Number of connections that were reset. */
-  #resetCount = 0;
+  readonly #resetSockets = new WeakSet<Socket>();
 
   /**
    * @param url Origin of the target.
@@ -66,7 +59,7 @@
       connections: options.connections,
       connect: (target, callback) => {
         connect(target, (...connected) => {
-          if (connected[1]) this.#countResets(connected[1]);
+          if (connected[1]) this.#watchForReset(connected[1]);
           callback(...connected);
         });
       },
@@ -78,6 +71,8 @@
   }
 
   async run(req: TargetRequest): Promise<Result<TargetAnswer, TargetFailure>> {
+    let socket: Socket | undefined;
+    const wasReset = () => socket !== undefined && this.#resetSockets.has(socket);
     try {
       const options: CheckedRequestOptions = {
         method: req.method as Dispatcher.HttpMethod,
@@ -86,9 +81,12 @@
         body: toRequestBody(req.body),
         signal: req.signal,
         checkHead: (head) => this.#findProblem(req, head),
+        onSocket: (each) => {
+          socket = each;
+        },
       };
       const res: Dispatcher.ResponseData = await this.#pool.request(options);
-      return await this.#toAnswer(res);
+      return await this.#toAnswer(res, wasReset);
     } catch (error) {
       return err(toFailure(error, req.signal));
     }
@@ -118,17 +116,17 @@
   }
 
   /**
-   * Counts the resets of a connection. A reset that arrives together with the
+   * Records whether a connection is reset. A reset that arrives together with the
    * last bytes looks like an ordinary end until something is written; a target
    * skips the line break that is written here, as it would before a request.
    */
-  #countResets(socket: Socket): void {
-    const countReset = (error?: NodeJS.ErrnoException | null) => {
-      if (error?.code !== undefined && RESET_CODES.has(error.code)) this.#resetCount += 1;
+  #watchForReset(socket: Socket): void {
+    const recordReset = (error?: NodeJS.ErrnoException | null) => {
+      if (error?.code !== undefined && RESET_CODES.has(error.code)) this.#resetSockets.add(socket);
     };
-    socket.on('error', countReset);
+    socket.on('error', recordReset);
     socket.on('end', () => {
-      socket.write('\r\n', countReset);
+      socket.write('\r\n', recordReset);
     });
   }
 
@@ -151,25 +149,26 @@
     return fields.isAuthentic ? undefined : `status ${head.status} unsigned`;
   }
 
-  async #toAnswer(res: Dispatcher.ResponseData): Promise<Result<TargetAnswer, TargetFailure>> {
+  async #toAnswer(
+    res: Dispatcher.ResponseData,
+    wasReset: () => boolean,
+  ): Promise<Result<TargetAnswer, TargetFailure>> {
     const { statusCode: status } = res;
     const fields = this.#readHead(toHead(res));
     const { targetId, shed, load: reported, statement } = fields;
-    const resetsBefore = this.#resetCount;
-    const body = await bufferSmallBody(res.body);
-    // The library treats an answer without a length as complete even if its connection was reset.
-    if (isUnframed(res)) {
-      await waitForNextTurn();
-      if (this.#resetCount > resetsBefore) {
-        if (!(body instanceof BufferedBody)) await cancelBody(body);
-        return err({
-          kind: TargetFailureKind.ConnectionLost,
-          detail: 'reset before the end of an answer',
-        });
-      }
-    }
+    const chunks = isUnframed(res) ? throwOnReset(res.body, wasReset) : res.body;
+    const body = await bufferSmallBody(res.body, chunks);
     const headers = removeHopByHopHeaders(toHeaders(res.headers));
-    return ok({ status, headers, body, load: undefined, targetId, shed, reported, statement });
+    return ok({
+      status,
+      headers,
+      body,
+      load: undefined,
+      targetId,
+      shed,
+      reported,
+      statement,
+    });
   }
 }
 
@@ -205,14 +204,30 @@
   stream.destroy();
 }
 
+/** Why a body that has ended is not complete. */
+const RESET_DETAIL = 'reset before the end of an answer';
+
+/**
+ * Reads a stream whose connection ends the body. The library treats such a body as complete even if
+ * the connection was reset.
+ */
+async function* throwOnReset(
+  stream: AsyncIterable<Uint8Array>,
+  isReset: () => boolean,
+): AsyncGenerator<Uint8Array> {
+  yield* stream;
+  await waitForNextTurn();
+  if (isReset()) throw new Error(RESET_DETAIL);
+}
+
 /** Buffers a small body, so that a truncation is detected before anything is forwarded. */
-async function bufferSmallBody(stream: Readable): Promise<Body> {
+async function bufferSmallBody(stream: Readable, chunks: AsyncIterable<Uint8Array>): Promise<Body> {
   const parts: Uint8Array[] = [];
   let size = 0;
-  const source = stream[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
+  const source = chunks[Symbol.asyncIterator]() as AsyncIterator<Uint8Array, undefined>;
   for (;;) {
     const item = await source.next();
-    if (item.done)
+    if (item.done === true)
       return new BufferedBody(parts.length === 1 ? getOnlyPart(parts) : Buffer.concat(parts));
     size += item.value.length;
     parts.push(item.value);
