--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -10,6 +10,10 @@
 const MAX_FAULT_MS = 3_000;
 /** Time from SIGTERM by which the process must have exited, in milliseconds: the sites' `grace`. */
 const SHUTDOWN_GRACE_MS = 6_000;
+/** Highest rate that a target names, in calls per second. */
+const MAX_NAMED_RATE = 4;
+/** Shortest time for which a target names a rate, in milliseconds; longer than daemons may take to learn it. */
+const MIN_RATE_MS = 7_000;
 /** Lame-duck periods that a settings reload chooses from, in milliseconds. */
 const LAME_DUCK_CHOICES_MS = [2_000, 2_500] as const;
 
@@ -158,6 +162,19 @@
   }
 }
 
+/** Makes a target name a rate of calls that it takes, which ends after a while or with its process. */
+export class TargetRate implements SoakFault {
+  readonly name = 'target-rate';
+
+  async inject(cluster: SoakCluster, random: RandomSource): Promise<void> {
+    const { target } = pickOne(cluster.machines, random);
+    const { targetId } = target;
+    target.nameRate(1 + random.below(MAX_NAMED_RATE));
+    await sleep(cluster.timer, MIN_RATE_MS + random.below(MAX_FAULT_MS));
+    if (target.targetId === targetId) target.nameRate(undefined);
+  }
+}
+
 /** Takes a failure domain out of service and puts it back. */
 export class Evacuation implements SoakFault {
   readonly name = 'evacuation';
--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -1,4 +1,4 @@
-import { COLD_PER_SECOND, makeAnswer, type TargetRun } from '../stand_in/mod.ts';
+import { COLD_PER_SECOND, makeAnswer, type NamedRate, type TargetRun } from '../stand_in/mod.ts';
 
 /** Guarantees that a soak checks. */
 export enum Guarantee {
@@ -8,6 +8,7 @@
   UnmodifiedCall = 'unchanged',
   HomeRegions = 'home-regions',
   ColdTargetRate = 'cold-rate',
+  NamedTargetRate = 'named-rate',
   Drain = 'drain',
   Evacuation = 'evacuation',
   PlannedStop = 'planned-stop',
@@ -58,6 +59,13 @@
 /** A cold target may get its tolerated rate times this factor, plus an allowance in calls per second. */
 const COLD_RATE_FACTOR = 1.5;
 const COLD_RATE_ALLOWANCE = 5;
+/** Window in which the calls to a target that names a rate are counted, in milliseconds. */
+const RATE_WINDOW_MS = 4_000;
+/** Time for which a target may get calls at any rate after it first named one, in milliseconds. */
+const RATE_LEARNING_MS = 4_000;
+/** A target may get the rate that it names times this factor, plus an allowance in calls a window. */
+const NAMED_RATE_FACTOR = 1.5;
+const NAMED_RATE_ALLOWANCE = 5;
 
 /**
  * Compares what clients and targets observed.
@@ -80,6 +88,7 @@
       makeFinding(Guarantee.UnmodifiedCall, `no client sent call ${run.callId}`),
     ),
     ...findColdRateViolations(runs),
+    ...findNamedRateViolations(runs),
   ];
 }
 
@@ -123,9 +132,7 @@
     if (isCold) coldTimesByTarget.set(targetId, [...(coldTimesByTarget.get(targetId) ?? []), atMs]);
   }
   return [...coldTimesByTarget].flatMap(([targetId, times]) => {
-    const highestRate = Math.max(
-      ...times.map((from) => times.filter((at) => at >= from && at < from + MS_PER_SECOND).length),
-    );
+    const highestRate = countMost(times, MS_PER_SECOND);
     if (highestRate <= limit) return [];
     return [
       makeFinding(
@@ -136,6 +143,32 @@
   });
 }
 
+function findNamedRateViolations(runs: readonly ObservedRun[]): SoakFinding[] {
+  const runsByNaming = new Map<NamedRate, ObservedRun[]>();
+  for (const run of runs) {
+    if (!run.rate || run.atMs - run.rate.sinceMs < RATE_LEARNING_MS) continue;
+    runsByNaming.set(run.rate, [...(runsByNaming.get(run.rate) ?? []), run]);
+  }
+  return [...runsByNaming].flatMap(([{ callsPerSecond }, rated]) => {
+    const tolerated =
+      (callsPerSecond * NAMED_RATE_FACTOR * RATE_WINDOW_MS) / MS_PER_SECOND + NAMED_RATE_ALLOWANCE;
+    const highest = countMost(
+      rated.map(({ atMs }) => atMs),
+      RATE_WINDOW_MS,
+    );
+    if (highest <= tolerated) return [];
+    const detail = `${rated[0]?.targetId ?? ''} names ${callsPerSecond} calls a second and got ${highest} in 4 s`;
+    return [makeFinding(Guarantee.NamedTargetRate, detail)];
+  });
+}
+
+/** Counts the times in the window that holds most of them. */
+function countMost(times: readonly number[], windowMs: number): number {
+  return Math.max(
+    ...times.map((from) => times.filter((at) => at >= from && at < from + windowMs).length),
+  );
+}
+
 /**
  * Makes a finding.
  *
--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -27,15 +27,23 @@
   bodyBytes: 4,
   atMs: 10,
   isCold: false,
+  rate: undefined,
   region: 'ar-centro',
 };
 const COLD_RUNS = 20;
+const RATE = { callsPerSecond: 2, sinceMs: 0 };
+/** Calls in two seconds that a target with this rate does and does not tolerate. */
+const RATED_RUNS = { tolerated: 17, tooMany: 18 };
 
 interface Case {
   call?: Partial<ObservedCall>;
   runs?: Partial<ObservedRun>[];
 }
 
+function makeRatedRuns(count: number, fromMs: number): Partial<ObservedRun>[] {
+  return Array.from({ length: count }, (_, index) => ({ rate: RATE, atMs: fromMs + index * 100 }));
+}
+
 const CASES: Record<string, Case> = {
   'a call that ran and was answered': {},
   'a call that ran twice': { runs: [{}, {}] },
@@ -57,6 +65,18 @@
     call: { isSafe: true },
     runs: Array.from({ length: COLD_RUNS }, (_, index) => ({ isCold: true, atMs: index * 40 })),
   },
+  'too many calls at a target that names a rate': {
+    call: { isSafe: true },
+    runs: makeRatedRuns(RATED_RUNS.tooMany, 4_000),
+  },
+  'as many calls as a target that names a rate tolerates': {
+    call: { isSafe: true },
+    runs: makeRatedRuns(RATED_RUNS.tolerated, 4_000),
+  },
+  'too many calls while a rate may not be known yet': {
+    call: { isSafe: true },
+    runs: makeRatedRuns(RATED_RUNS.tooMany, 1_000),
+  },
 };
 
 void t.test('findViolations() finds each kind of violation', (t) => {
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -16,6 +16,7 @@
   SettingsReload,
   StoreOutage,
   TargetDrain,
+  TargetRate,
   TargetRestart,
   pickOne,
   type SoakFault,
@@ -26,6 +27,8 @@
 
 /** Time from the start to the first fault, in milliseconds: enough for daemons and targets to start and warm up on a busy machine. */
 const WARM_UP_MS = 6_000;
+/** Time from one target that names a rate to the next, in milliseconds. */
+const RATE_INTERVAL_MS = 3_000;
 /** Time between two faults, in milliseconds. */
 const FAULT_INTERVAL_MS = { min: 100, max: 1_500 };
 /** Time after the last fault by which service must have recovered, in milliseconds: below the sites' `recovery`. */
@@ -84,7 +87,9 @@
     }),
   );
   const clientRuns = clients.map((client) => client.run(stopClients.signal));
+  const rates = nameRates(cluster, new SeededRandom(seed), faultPhaseMs);
   const faults = await injectFaults(cluster, { ...options, random, faultPhaseMs });
+  await rates;
   await sleep(timer, RECOVERY_MS);
   stopClients.abort();
   await Promise.all(clientRuns);
@@ -137,6 +142,25 @@
   return injected.length;
 }
 
+/**
+ * Makes targets name rates during the fault phase. It has its own random numbers, so that the
+ * sequence of the other faults for a seed stays the same.
+ */
+async function nameRates(
+  cluster: SoakCluster,
+  random: SeededRandom,
+  faultPhaseMs: number,
+): Promise<void> {
+  const targetRate = new TargetRate();
+  const startMs = cluster.timer.now();
+  const named: Promise<void>[] = [];
+  while (cluster.timer.now() - startMs < faultPhaseMs) {
+    named.push(targetRate.inject(cluster, random));
+    await sleep(cluster.timer, RATE_INTERVAL_MS);
+  }
+  await Promise.all(named);
+}
+
 /** Checks after the recovery that every machine answers calls, on a route that was just added. */
 async function checkService(cluster: SoakCluster): Promise<void> {
   const prefix = cluster.addRoute();
--- a/soak/soak_cluster.ts
+++ b/soak/soak_cluster.ts
@@ -173,6 +173,7 @@
    */
   async drainTarget(machine: SoakMachine): Promise<void> {
     const { targetId } = machine.target;
+    machine.target.isLeaving = true;
     this.#putRegistration(machine, true);
     this.#drainedAtMs.set(targetId, this.timer.now());
     await sleep(this.timer, TARGET_DRAIN_MS);
--- a/stand_in/platform_target.ts
+++ b/stand_in/platform_target.ts
@@ -16,6 +16,15 @@
   /** Start of the execution, in milliseconds of the timer's clock. */
   atMs: number;
   isCold: boolean;
+  /** Rate that the target names in its answers, if any. */
+  rate: NamedRate | undefined;
+}
+
+/** Rate of calls that a target names. */
+export interface NamedRate {
+  callsPerSecond: number;
+  /** Time at which it was first named, in milliseconds of the timer's clock. */
+  sinceMs: number;
 }
 
 /** Options of {@linkcode PlatformTarget}. */
@@ -48,6 +57,9 @@
   #targetId = '';
   #startedAtMs = 0;
   #running = 0;
+  #rate: NamedRate | undefined;
+  /** Whether its answers say that it is leaving. */
+  isLeaving = false;
 
   /** @param options See {@linkcode PlatformTargetOptions}. */
   constructor(options: PlatformTargetOptions) {
@@ -59,6 +71,18 @@
     return this.#targetId;
   }
 
+  /**
+   * Names a rate of calls in all further answers of the present incarnation.
+   *
+   * @param callsPerSecond The rate; none if absent.
+   */
+  nameRate(callsPerSecond: number | undefined): void {
+    this.#rate =
+      callsPerSecond === undefined
+        ? undefined
+        : { callsPerSecond, sinceMs: this.#options.timer.now() };
+  }
+
   /**
    * Starts a new incarnation, which is cold at first.
    *
@@ -69,6 +93,8 @@
     this.#targetId = targetId;
     this.#startedAtMs = timer.now();
     this.#running = 0;
+    this.#rate = undefined;
+    this.isLeaving = false;
     const server = createServer((req, res) => {
       void this.#serve(req, res, targetId);
     });
@@ -101,6 +127,8 @@
     res.setHeader('Instance-Load', `${this.#running},0,${slots},100`);
     if (this.#coldRemainingMs > 0)
       res.setHeader('Cold-Remaining', `${Math.round(this.#coldRemainingMs)}ms`);
+    if (this.#rate) res.setHeader('Server-Limit', String(this.#rate.callsPerSecond));
+    if (this.isLeaving) res.setHeader('Server-Leaving', '1');
     if (req.url === '/health') {
       res.writeHead(200).end();
       return;
@@ -137,6 +165,7 @@
       bodyBytes: body.length,
       atMs: timer.now(),
       isCold: this.#coldRemainingMs > 0,
+      rate: this.#rate,
     });
     await sleep(timer, serviceMs);
     this.#running = Math.max(0, this.#running - 1);
--- a/tap-snapshots/dist/soak/guarantees_test.js.test.cjs
+++ b/tap-snapshots/dist/soak/guarantees_test.js.test.cjs
@@ -81,8 +81,22 @@
 ]
 `
 
+exports[`dist/soak/guarantees_test.js > TAP > findViolations() finds each kind of violation > as many calls as a target that names a rate tolerates 1`] = `
+Array []
+`
+
 exports[`dist/soak/guarantees_test.js > TAP > findViolations() finds each kind of violation > too many calls at a cold target 1`] = `
 Array [
   "cold-rate: cold target i-1-1 got 20 calls in a second",
 ]
 `
+
+exports[`dist/soak/guarantees_test.js > TAP > findViolations() finds each kind of violation > too many calls at a target that names a rate 1`] = `
+Array [
+  "named-rate: i-1-1 names 2 calls a second and got 18 in 4 s",
+]
+`
+
+exports[`dist/soak/guarantees_test.js > TAP > findViolations() finds each kind of violation > too many calls while a rate may not be known yet 1`] = `
+Array []
+`
