An answer with a header that is not ASCII no longer ends the daemon

One answer of a target with a byte above 0x7f in a header ended the whole entry process, with all its callers' connections (operators' report: one malformed message took a process down). Cause: the client library decodes headers as UTF-8, the engine's server sends Latin-1 and throws on other characters; nothing handled the rejection of a call's task, which ends the process. Each byte now stays one character, so such headers pass unchanged. An unexpected error in a call resets its caller's connection, any other ends its task; both are logged as task-failed.

--- a/daemon/bad_input_test.ts
+++ b/daemon/bad_input_test.ts
@@ -12,6 +12,8 @@
 
 const BODY_LIMIT_BYTES = 1_048_576;
 const LARGE_BYTES = 900_000;
+/** Time after which a call counts as never answered, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 1_500;
 
 interface Fixture {
   target: Server;
@@ -23,6 +25,25 @@
   cancelled: string[];
 }
 
+function makeUnusualAnswer(status: string, line: string): string {
+  return `HTTP/1.1 ${status}\r\n${line}\r\nContent-Length: 2\r\n\r\nok`;
+}
+
+/** Answers that the engine's HTTP server may refuse to send, by path; each character is one byte. */
+const UNUSUAL_ANSWERS: Readonly<Record<string, string>> = {
+  '/boards/utf-8': makeUnusualAnswer('200 OK', 'X-Name: \u00e4\u00bd\u00a0\u00c3\u00a9'),
+  '/boards/latin-1': makeUnusualAnswer('200 OK', 'X-Name: \u00e9\u00ff'),
+  '/boards/control-character': makeUnusualAnswer('200 OK', 'X-Name: a\u0001b'),
+  '/boards/delete-character': makeUnusualAnswer('200 OK', 'X-Name: a\u007fb'),
+  '/boards/header-name': makeUnusualAnswer('200 OK', 'X(Name): a'),
+  '/boards/status-000': makeUnusualAnswer('000 None', 'X-Name: a'),
+  '/boards/status-099': makeUnusualAnswer('099 None', 'X-Name: a'),
+  '/boards/status-999': makeUnusualAnswer('999 None', 'X-Name: a'),
+  '/boards/status-101': makeUnusualAnswer('101 Switching', 'X-Name: a'),
+  '/boards/bad-length': 'HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nok',
+  '/boards/no-content': 'HTTP/1.1 204 None\r\nContent-Length: 2\r\n\r\nok',
+};
+
 /** Returns a target that echoes, resets in the middle of an answer, or hangs until it is cancelled. */
 function makeTargetHandler(cancelled: string[]) {
   return (req: IncomingMessage, res: ServerResponse) => {
@@ -30,6 +51,8 @@
     if (path.startsWith('/boards/reset')) {
       res.writeHead(200, { 'content-length': 100 });
       res.write('only the start', () => req.socket.resetAndDestroy());
+    } else if (path in UNUSUAL_ANSWERS) {
+      req.socket.end(UNUSUAL_ANSWERS[path] ?? '', 'latin1');
     } else if (path.startsWith('/boards/hang')) {
       res.once('close', () => cancelled.push(path));
     } else if (path.startsWith('/boards/large')) {
@@ -128,6 +151,22 @@
   }
 }
 
+/** Makes a call over a connection of its own and returns the status and the bytes of a header. */
+async function exchangeRaw(port: number, path: string): Promise<string> {
+  const socket = connect(port, '127.0.0.1');
+  let received = '';
+  socket.on('error', () => undefined);
+  socket.on('data', (bytes) => (received += bytes.toString('latin1')));
+  const closed = new Promise((resolve) => socket.once('close', resolve));
+  socket.setTimeout(ANSWER_TIMEOUT_MS, () => socket.destroy());
+  const lines = [`GET ${path} HTTP/1.1`, 'host: x', 'rhubarbkeel-workspace: plata'];
+  socket.write(`${lines.join('\r\n')}\r\nconnection: close\r\n\r\n`);
+  await closed;
+  const [, status = 'no answer'] = /^HTTP\/1\.1 (\d+)/.exec(received) ?? [];
+  const [, name = ''] = /^x-name: (.*)$/im.exec(received.replaceAll('\r', '')) ?? [];
+  return `${status} ${Buffer.from(name, 'latin1').toString('hex')}`.trim();
+}
+
 async function* chunks(count: number, size: number): AsyncGenerator<Buffer> {
   for (let index = 0; index < count; index += 1)
     yield await Promise.resolve(Buffer.alloc(size, 'y'));
@@ -167,6 +206,20 @@
     t.matchSnapshot(await send(fixture, testRequest), name);
 });
 
+void t.test('an answer that cannot be sent on ends its call, not the process', async (t) => {
+  const fixture = await startFixture();
+  t.teardown(() => stopFixture(fixture));
+  const failures: string[] = [];
+  const recordFailure = (error: unknown) => failures.push(String(error));
+  process.on('unhandledRejection', recordFailure);
+  const seen: string[] = [];
+  for (const path of Object.keys(UNUSUAL_ANSWERS)) {
+    seen.push(`${path}: ${await exchangeRaw(fixture.entry.callerPort, path)}`);
+  }
+  process.off('unhandledRejection', recordFailure);
+  t.matchSnapshot([...seen, await send(fixture, {}), ...failures], 'received');
+});
+
 void t.test('peer server closes the link of a malformed frame and keeps serving', async (t) => {
   const fixture = await startFixture();
   t.teardown(() => stopFixture(fixture));
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -1,7 +1,7 @@
 import { Result, err, ok } from 'neverthrow';
 import { Outcome, type Route } from '../contract/mod.ts';
 import type { CallerReply, CallerRequest } from '../entry/mod.ts';
-import type { EventLog } from '../event_log/mod.ts';
+import { logTaskFailure, type EventLog } from '../event_log/mod.ts';
 import { InstanceStage } from '../instance/mod.ts';
 import {
   CallerServer,
@@ -93,6 +93,9 @@
         dialect,
         isLeaving: () => daemon.stage === InstanceStage.Leaving,
         getTimeouts: () => daemon.configuration?.callerTimeouts,
+        onCallFailed: (error) => {
+          logTaskFailure(log, error);
+        },
         serve: (req) => serveMeasured(daemon, req, { timer, metrics }),
       }),
       PeerServer.listen({ ...settings.peers, serve: (channel) => daemon.accept(channel) }),
--- a/daemon/main.ts
+++ b/daemon/main.ts
@@ -2,7 +2,7 @@
 import './early_signals.ts';
 import { readFileSync } from 'node:fs';
 import { cac } from 'cac';
-import { ConsoleLog, Event } from '../event_log/mod.ts';
+import { ConsoleLog, Event, logTaskFailure } from '../event_log/mod.ts';
 import { formatFinding } from '../finding/mod.ts';
 import { parseSettings } from '../settings/mod.ts';
 import { DaemonProcess } from './daemon_process.ts';
@@ -33,6 +33,10 @@
     process.exit(EXIT_BAD_SETTINGS);
   }
   const log = new ConsoleLog();
+  // An unexpected error ends the task in which it occurs, for example a call, and no other.
+  process.on('unhandledRejection', (error) => {
+    logTaskFailure(log, error);
+  });
   const started = await DaemonProcess.start({ settings: settings.value, log });
   if (started.isErr()) {
     process.stderr.write(`${started.error.map(({ detail }) => detail).join('\n')}\n`);
--- a/event_log/mod.ts
+++ b/event_log/mod.ts
@@ -14,5 +14,6 @@
 export * from './console_log.ts';
 export * from './event.ts';
 export * from './event_log.ts';
+export * from './log_task_failure.ts';
 export * from './memory_log.ts';
 export * from './tee_log.ts';
--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -44,6 +44,12 @@
   dialect?: HttpDialect;
   /** @returns Whether the daemon is leaving, so that each connection closes after its current call. */
   isLeaving?: () => boolean;
+  /**
+   * Called when a call fails unexpectedly. Its connection is reset; other calls continue.
+   *
+   * @param error What was thrown.
+   */
+  onCallFailed?: (error: unknown) => void;
   /** @returns The timeouts in force, if a configuration is known. */
   getTimeouts?: () => CallerTimeouts | undefined;
 }
@@ -65,9 +71,14 @@
   static async listen(options: CallerServerOptions): Promise<Result<CallerServer, ListenError>> {
     const dialect = options.dialect ?? new DefaultDialect();
     const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, (incoming, outgoing) => {
-      void serveCall(incoming, outgoing, { ...options, dialect }).then(() => {
-        applyTimeouts(server, options.getTimeouts?.());
-      });
+      void serveCall(incoming, outgoing, { ...options, dialect })
+        .catch((error: unknown) => {
+          options.onCallFailed?.(error);
+          resetSocket(incoming.socket);
+        })
+        .finally(() => {
+          applyTimeouts(server, options.getTimeouts?.());
+        });
     });
     return (await listen(server, options)).map(() => new CallerServer(server));
   }
--- a/link/metered_client.ts
+++ b/link/metered_client.ts
@@ -150,6 +150,18 @@
   }
 }
 
+/** Lowest byte that is not ASCII. */
+const NON_ASCII_BYTE = 0x80;
+
+/**
+ * Encodes a header so that the library, which decodes UTF-8, yields one character for each byte, as the
+ * engine's HTTP server does. Other text cannot be sent on unchanged, or at all.
+ */
+function toDecodable(header: Buffer): Buffer {
+  const isAscii = header.every((byte) => byte < NON_ASCII_BYTE);
+  return isAscii ? header : Buffer.from(header.toString('latin1'));
+}
+
 /** Makes an error that fails only the call in flight, not the calls that wait to be sent. */
 function makeExcessBytesError(bytes: number): Error {
   return new errors.SocketError(`expected an answer, got ${bytes} bytes that are none`);
@@ -198,7 +210,8 @@
       this.#abort?.(new RejectedHeadError(problem));
       return false;
     }
-    return this.#inner.onHeaders?.(status, headers, resume, text) ?? true;
+    const decodable = headers.map(toDecodable);
+    return this.#inner.onHeaders?.(status, decodable, resume, text) ?? true;
   }
 
   #findProblem(status: number, headers: Buffer[]): string | undefined {
--- a/tap-snapshots/dist/daemon/bad_input_test.js.test.cjs
+++ b/tap-snapshots/dist/daemon/bad_input_test.js.test.cjs
@@ -5,6 +5,23 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`dist/daemon/bad_input_test.js > TAP > an answer that cannot be sent on ends its call, not the process > received 1`] = `
+Array [
+  "/boards/utf-8: 200 e4bda0c3a9",
+  "/boards/latin-1: 200 e9ff",
+  "/boards/control-character: 502",
+  "/boards/delete-character: 502",
+  "/boards/header-name: 502",
+  "/boards/status-000: 502",
+  "/boards/status-099: 502",
+  "/boards/status-999: 999 61",
+  "/boards/status-101: 502",
+  "/boards/bad-length: 502",
+  "/boards/no-content: 204",
+  "200 answered 0 bytes",
+]
+`
+
 exports[`dist/daemon/bad_input_test.js > TAP > caller server handles bad input and keeps serving > a call chain that is too deep 1`] = `
 400 not-run expected a depth below 32, got "32"
 `
