--- a/guard/notice_tracker.ts
+++ b/guard/notice_tracker.ts
@@ -74,11 +74,12 @@
     const before = this.notice;
     // An answer to an earlier call may have been overtaken by the one that gave the notice.
     const isCurrent = source !== NoticeSource.Shed && sentAtMs > this.#noticedAtMs;
-    if (isCurrent && this.#isFromPeer) this.#clear();
+    const isReadable = statement.rate.kind !== StatedRateKind.Malformed;
+    if (isCurrent && isReadable && this.#isFromPeer) this.#clear();
     this.#recordRate(statement.rate, isCurrent);
     // A process that leaves says so until it ends; a new one may have its ID.
     if (isCurrent && isHealthy === true) this.#isLeaving = false;
-    if (statement.isLeaving) this.#isLeaving = true;
+    if (statement.isLeaving) this.#recordLeaving();
     this.#hasOwnStatement ||= source !== NoticeSource.Shed;
     this.#reportChange(before, source);
   }
@@ -113,6 +114,11 @@
     this.#isFromPeer = false;
   }
 
+  #recordLeaving(): void {
+    this.#isLeaving = true;
+    this.#noticedAtMs = this.#options.timer.now();
+  }
+
   #recordRate(rate: StatedRate, isCurrent: boolean): void {
     switch (rate.kind) {
       case StatedRateKind.Named:
