--- a/fakes/fake_platform.ts
+++ b/fakes/fake_platform.ts
@@ -20,6 +20,8 @@
 }
 
 const ANSWER_MS = 3;
+/** Time beyond its wait after which a reader gives up a read without an answer, in milliseconds. */
+const READ_TIMEOUT_MS = 1_000;
 
 /** In-memory platform: a configuration and an instance list that can be read and watched. */
 export class FakePlatform implements DocumentSource {
@@ -29,6 +31,7 @@
   readonly #documents: Record<DocumentKind, PublishedDocument>;
   #staleDocuments: Record<DocumentKind, PublishedDocument> | undefined;
   #state = PlatformState.Up;
+  #silence = new AbortController();
   /** Number of reads and watches so far. */
   reads = 0;
 
@@ -55,6 +58,12 @@
     this.#wakeAll();
   }
 
+  /** Leaves the pending watches without an answer, as if their connections had gone silent. */
+  silenceReads(): void {
+    this.#silence.abort();
+    this.#silence = new AbortController();
+  }
+
   /**
    * Publishes a version of the configuration.
    *
@@ -79,9 +88,15 @@
 
   async read(req: ReadRequest): Promise<Result<PublishedDocument | undefined, SourceError>> {
     this.reads += 1;
+    const { signal: silenced } = this.#silence;
+    const givesUpAtMs = this.#timer.now() + req.waitMs + READ_TIMEOUT_MS;
     await this.#delay(ANSWER_MS);
     if (this.#isDown()) return err({ detail: 'down' });
     if (!this.#isNewer(req) && req.waitMs > 0) await this.#waitForChange(req);
+    if (silenced.aborted) {
+      await this.#delay(givesUpAtMs - this.#timer.now());
+      return err({ detail: 'no answer' });
+    }
     if (this.#isDown()) return err({ detail: 'down' });
     return ok(this.#isNewer(req) ? this.#currentDocument(req.document) : undefined);
   }
--- a/fakes/in_process_cluster.ts
+++ b/fakes/in_process_cluster.ts
@@ -18,7 +18,7 @@
 import { FakeTarget, RUN_ID_HEADER } from './fake_target.ts';
 import { MemoryNetwork } from './memory_network.ts';
 import { PausableTimer } from './pausable_timer.ts';
-import { WithholdingSource } from './withholding_source.ts';
+import { ReadPolicy, WithholdingSource } from './withholding_source.ts';
 
 const ANSWER_LIMIT_BYTES = 16_777_216;
 const STARTUP_MS = 1_000;
@@ -103,6 +103,8 @@
   readonly runs = new Map<string, number>();
   /** Names of the instances from which new documents are withheld. */
   readonly withheldFrom = new Set<string>();
+  /** Names of the instances whose reads the platform refuses. */
+  readonly refusedReaders = new Set<string>();
   readonly #options: InProcessClusterOptions;
   readonly #resultsAtExit = new WeakMap<AbortSignal, Promise<ClusterCallResult>>();
   #incarnations = 0;
@@ -292,7 +294,7 @@
       timer: clock,
       log: log satisfies EventLog,
       dialer: makeStoppableDialer(this.network.makeDialer(instance.peerAddress), ended.signal),
-      platform: new WithholdingSource(this.platform, () => this.withheldFrom.has(instance.id)),
+      platform: new WithholdingSource(this.platform, () => this.#getReadPolicy(instance.id)),
       target: makeStoppableTarget(targetPort, ended.signal, clock),
       incarnation: `run-${this.#incarnations}`,
     });
@@ -301,6 +303,11 @@
     return { daemon, log, ended, clock };
   }
 
+  #getReadPolicy(id: string): ReadPolicy {
+    if (this.refusedReaders.has(id)) return ReadPolicy.Refuse;
+    return this.withheldFrom.has(id) ? ReadPolicy.Withhold : ReadPolicy.Serve;
+  }
+
   #makeSettings({ id, pool, failureDomain }: Instance): Settings {
     const settings = settingsSchema.parse({
       instance: { id, pool, failureDomain },
--- a/fakes/memory_network.ts
+++ b/fakes/memory_network.ts
@@ -111,6 +111,11 @@
     }
   }
 
+  /** Makes all open connections silent for good, without an error; new ones work. */
+  silenceConnections(): void {
+    for (const channel of this.#channels) channel.silence();
+  }
+
   /**
    * Returns the state of a network path.
    *
@@ -177,6 +182,7 @@
   readonly #receivedFrames = new AsyncQueue<Result<Frame, FrameError>>();
   #otherEnd: MemoryChannel | undefined;
   #isOpen = true;
+  #isSilenced = false;
   sentBytes = 0;
   receivedBytes = 0;
 
@@ -197,11 +203,20 @@
       const message = encodeFrames([each.frame]);
       this.sentBytes += message.length;
       timer.after(delayMs + each.delayMs, () => {
-        if (!this.#options.isSilent()) void this.#deliver(message);
+        if (!this.#isSilent) void this.#deliver(message);
       });
     }
   }
 
+  /** Stops delivering anything, the end of the connection included. */
+  silence(): void {
+    this.#isSilenced = true;
+  }
+
+  get #isSilent(): boolean {
+    return this.#isSilenced || this.#options.isSilent();
+  }
+
   /** Delivers a message; a paused process reads it after it resumes. */
   async #deliver(message: Buffer): Promise<void> {
     if (this.#options.isPaused()) await this.#options.whenRunning();
@@ -223,7 +238,7 @@
     this.#closeThisEnd();
     const { timer, delayMs } = this.#options;
     timer.after(delayMs, () => {
-      if (!this.#options.isSilent()) this.#otherEnd?.break();
+      if (!this.#isSilent) this.#otherEnd?.break();
     });
   }
 
