A change is in force in time also after open connections went silent

Callers saw, or could see: after all open connections went silent without a reset, requests were handled by an old configuration for seconds after the machines counted as in touch again (CONFIG).

Cause: nothing noticed the silence in time. A watch of the platform waited 5 s and 1 s more for its answer, and then 0.5 to 1 s before the next one. A link without calls was checked after 5 s and given up after 15 to 20 s, also one to a watcher, on which a follower waits for nothing but updates. The class: waiting for news on a connection of which nothing shows that it still works.

Change: a watch waits 3 s and at most 0.7 s more, and is repeated at once if it had no answer. A follower verifies one of its links to the watchers each second, with a ping if nothing was received, and opens it again if it is dead. That a silent link was given up is logged in every case.

--- a/distribution/document_distributor.ts
+++ b/distribution/document_distributor.ts
@@ -16,13 +16,18 @@
  * Longest wait of one watch of the platform, in milliseconds. Limits the time for
  * which a connection that no longer delivers anything hides changes.
  */
-const WATCH_WAIT_MS = 5_000;
+const WATCH_WAIT_MS = 3_000;
 /** Pause between two watches, in milliseconds; changes in quick succession cost one read. */
 const WATCH_GAP_MS = 100;
-/** Shortest delay after a failed read, in milliseconds; a random delay is added. */
-const RETRY_DELAY_MS = 500;
+/**
+ * Shortest interval between the start of a failed read and the next one, in milliseconds; a random
+ * delay is added. A watch without an answer has taken longer, and is repeated at once.
+ */
+const RETRY_INTERVAL_MS = 500;
 /** Interval between two checks of the links to the watchers, in milliseconds. */
 const LINK_CHECK_PERIOD_MS = 1_000;
+/** Time without a frame after which a link to a watcher is verified, in milliseconds. */
+const MAX_LINK_SILENCE_MS = 1_000;
 /** Time without a link to a watcher after which a follower reads the platform, in milliseconds. */
 const WATCHERLESS_LIMIT_MS = 3_000;
 const WATCHERLESS_READ_PERIOD_MS = 5_000;
@@ -188,8 +193,11 @@
     const { signal } = this.#stop;
     while (!signal.aborted) {
       if (this.isWatcher || this.#isFleetEmpty) {
-        const answered = await this.#read(kind, WATCH_WAIT_MS);
-        await this.#sleepWithJitter(answered ? WATCH_GAP_MS : RETRY_DELAY_MS);
+        const startMs = this.#options.timer.now();
+        const isAnswered = await this.#read(kind, WATCH_WAIT_MS);
+        const elapsedMs = this.#options.timer.now() - startMs;
+        if (isAnswered) await this.#sleepWithJitter(WATCH_GAP_MS);
+        else if (elapsedMs < RETRY_INTERVAL_MS) await this.#sleepWithJitter(RETRY_INTERVAL_MS);
       } else {
         await this.#sleepWithJitter(LINK_CHECK_PERIOD_MS);
         if (this.#shouldReadWithoutWatcher(kind)) await this.#read(kind, 0);
@@ -224,23 +232,28 @@
   }
 
   async #follow(): Promise<void> {
-    const { instanceId, timer, openLink } = this.#options;
+    const { instanceId, timer } = this.#options;
     const { signal } = this.#stop;
-    while (!signal.aborted) {
+    for (let round = 0; !signal.aborted; round += 1) {
       const others = this.#getWatchers().filter(({ id }) => id !== instanceId);
-      for (const watcher of others) {
-        const watcherLink = await openLink(watcher);
-        if (!watcherLink) continue;
-        this.#lastLinkedMs = timer.now();
-        if (this.#followedLinks.has(watcherLink)) continue;
-        this.#followedLinks.add(watcherLink);
-        this.requestUpdates(watcherLink, true);
-      }
+      for (const watcher of others) await this.#followWatcher(watcher);
       this.#removeClosedLinks();
-      await sleep(timer, LINK_CHECK_PERIOD_MS, { signal });
+      const links = [...this.#followedLinks];
+      // One link in each round is enough, as a working link to one watcher brings all updates.
+      const isAlive = (await links[round % links.length]?.verify(MAX_LINK_SILENCE_MS)) ?? true;
+      if (isAlive) await sleep(timer, LINK_CHECK_PERIOD_MS, { signal });
     }
   }
 
+  async #followWatcher(watcher: Instance): Promise<void> {
+    const link = await this.#options.openLink(watcher);
+    if (!link) return;
+    this.#lastLinkedMs = this.#options.timer.now();
+    if (this.#followedLinks.has(link)) return;
+    this.#followedLinks.add(link);
+    this.requestUpdates(link, true);
+  }
+
   /** Returns the watchers of this daemon's failure domain, selected once for each fleet. */
   #getWatchers(): Instance[] {
     const fleet = this.#options.getFleet();
--- a/fakes/fake_platform.ts
+++ b/fakes/fake_platform.ts
@@ -21,7 +21,7 @@
 
 const ANSWER_MS = 3;
 /** Time beyond its wait after which a reader gives up a read without an answer, in milliseconds. */
-const READ_TIMEOUT_MS = 1_000;
+const READ_TIMEOUT_MS = 700;
 
 /** In-memory platform: a configuration and an instance list that can be read and watched. */
 export class FakePlatform implements DocumentSource {
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -24,7 +24,7 @@
 } from '../contract/mod.ts';
 import type { PeerPort } from '../entry/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
-import type { Subscription, TimerService } from '../timer/mod.ts';
+import { withTimeout, type Subscription, type TimerService } from '../timer/mod.ts';
 import {
   fromAnswerFrame,
   fromCallFrame,
@@ -121,6 +121,8 @@
   #lastReceivedMs: number;
   #lastSentMs: number;
   #isOpen = true;
+  /** Called with the next received frame. */
+  #onReceived: ((isReceived: boolean) => void) | undefined;
 
   /** @param options See {@linkcode PeerLinkOptions}. */
   constructor(options: PeerLinkOptions) {
@@ -136,12 +138,7 @@
         this.sendFrame({ kind: FrameKind.Ping });
       },
       onStalled: () => {
-        const { instanceId } = this.peer;
-        this.#services.log.write(Event.LinkStalled, {
-          peer: instanceId,
-          pending: this.#sentExchanges.size,
-        });
-        this.terminate();
+        this.#terminateStalled();
       },
     });
     this.#keepalive = options.services.timer.every(KEEPALIVE_PERIOD_MS, () => {
@@ -178,6 +175,7 @@
       }
       this.#lastReceivedMs = this.#services.timer.now();
       this.#stallDetector.recordReceived();
+      this.#onReceived?.(true);
       this.#handleFrame(received.value);
     }
     this.terminate();
@@ -209,6 +207,28 @@
     return result;
   }
 
+  /**
+   * Checks that the peer still answers if nothing was received for a while. Terminates the link
+   * otherwise.
+   *
+   * @param maxSilenceMs Time without a received frame after which the peer is pinged, and for which
+   * its answer is awaited, in milliseconds.
+   * @returns Whether the link is open and the peer answers.
+   */
+  async verify(maxSilenceMs: number): Promise<boolean> {
+    const { timer } = this.#services;
+    const pingedAtMs = timer.now();
+    if (pingedAtMs - this.#lastReceivedMs < maxSilenceMs) return this.#isOpen;
+    this.sendFrame({ kind: FrameKind.Ping });
+    const answered = new Promise<boolean>((resolve) => {
+      this.#onReceived = resolve;
+    });
+    const isAnswered = (await withTimeout(timer, maxSilenceMs, answered)) ?? false;
+    this.#onReceived = undefined;
+    if (!isAnswered) this.#terminateStalled();
+    return this.#isOpen;
+  }
+
   /**
    * Sends a frame to the peer.
    *
@@ -240,6 +260,16 @@
     this.#receivedExchanges.clear();
   }
 
+  #terminateStalled(): void {
+    if (!this.#isOpen) return;
+    const { instanceId } = this.peer;
+    this.#services.log.write(Event.LinkStalled, {
+      peer: instanceId,
+      pending: this.#sentExchanges.size,
+    });
+    this.terminate();
+  }
+
   #beginExchange(): { exchange: Exchange; result: Promise<AttemptResult> } {
     const exchange = new Exchange(this.#nextStream);
     this.#nextStream += 2;
@@ -445,7 +475,7 @@
   #checkSilence(): void {
     const nowMs = this.#services.timer.now();
     if (nowMs - this.#lastReceivedMs > SILENCE_LIMIT_MS) {
-      this.terminate();
+      this.#terminateStalled();
       return;
     }
     if (nowMs - this.#lastSentMs >= KEEPALIVE_PERIOD_MS) this.sendFrame({ kind: FrameKind.Ping });
