A change reaches a failure domain whose watchers the platform turns away

Callers saw, or could see: with both watchers of a failure domain turned away by the store, the whole domain kept an old configuration (CONFIG) and an old instance list, for as long as no call crossed domains.

Cause: followers learn of versions from the watchers of their domain only, and read the platform themselves only without a link to any watcher. A watcher that cannot read stays linked and brings nothing. The class: a source counts as working because it is connected, not because it delivers.

Change: while a watcher cannot read the platform, it asks one watcher of each other domain for updates each second. Nothing is asked while reads succeed.

--- a/distribution/document_distributor.ts
+++ b/distribution/document_distributor.ts
@@ -74,6 +74,11 @@
     [DocumentKind.Configuration]: -Infinity,
     [DocumentKind.Fleet]: -Infinity,
   };
+  /** Whether the last read of each document failed. */
+  readonly #isReadFailing: Record<DocumentKind, boolean> = {
+    [DocumentKind.Configuration]: false,
+    [DocumentKind.Fleet]: false,
+  };
   #platformReads = 0;
   #selected: { fleet: Fleet; watchers: Instance[] } | undefined;
 
@@ -223,6 +228,7 @@
     this.#lastReadMs[document] = this.#options.timer.now();
     const afterVersion = store.versionOf(document);
     const read = await platform.read({ document, afterVersion, waitMs });
+    this.#isReadFailing[document] = read.isErr();
     if (read.isErr()) {
       log.write(Event.PlatformUnreachable, { document, detail: read.error.detail });
       return false;
@@ -237,6 +243,7 @@
     for (let round = 0; !signal.aborted; round += 1) {
       const others = this.#getWatchers().filter(({ id }) => id !== instanceId);
       for (const watcher of others) await this.#followWatcher(watcher);
+      if (this.isWatcher && this.#cannotReadPlatform) await this.#askOtherDomains();
       this.#removeClosedLinks();
       const links = [...this.#followedLinks];
       // One link in each round is enough, as a working link to one watcher brings all updates.
@@ -254,6 +261,25 @@
     this.requestUpdates(link, true);
   }
 
+  get #cannotReadPlatform(): boolean {
+    return DOCUMENT_KINDS.some((kind) => this.#isReadFailing[kind]);
+  }
+
+  /** Requests updates from a watcher of each other failure domain; the platform may serve it. */
+  async #askOtherDomains(): Promise<void> {
+    const { getFleet, failureDomain, openLink } = this.#options;
+    const fleet = getFleet();
+    const domains = new Set(fleet.instances.map((each) => each.failureDomain));
+    domains.delete(failureDomain);
+    const watchers = [...domains].flatMap((domain) => selectWatchers(fleet, domain).slice(0, 1));
+    await Promise.all(
+      watchers.map(async (watcher) => {
+        const link = await openLink(watcher);
+        if (link && (await link.verify(MAX_LINK_SILENCE_MS))) this.requestUpdates(link);
+      }),
+    );
+  }
+
   /** Returns the watchers of this daemon's failure domain, selected once for each fleet. */
   #getWatchers(): Instance[] {
     const fleet = this.#options.getFleet();
--- a/tap-snapshots/dist/matrix/distribution_test.js.test.cjs
+++ b/tap-snapshots/dist/matrix/distribution_test.js.test.cjs
@@ -8,7 +8,7 @@
 exports[`dist/matrix/distribution_test.js > TAP > a version is applied everywhere and never reverts under any fault > time until in force 1`] = `
 Array [
   "published none: in force 0 ms after the fault",
-  "published service-down: in force 800 ms after the fault",
+  "published service-down: in force 700 ms after the fault",
   "published service-stale: in force 0 ms after the fault",
   "published watcher-crash: in force 0 ms after the fault",
   "published watcher-pause: in force 0 ms after the fault",
