A call that crashes its targets is soon sent to none

Cause: on the users' platform the quarantine was off, and as it stood it would not have held if it were on: it took each lost connection for a crash, only the entry of the call and the peers to which it happened to have links heard of it, and a daemon that restarted forgot. Class: knowledge that must bind all daemons, kept where it happened to arise.

Change: the guard confirms a crash by probes and logs the calls that were running (target-crashed). Its daemon tells the watchers of all failure domains, these their followers, and both ends of a new link repeat what they know. One answer to such a call clears it everywhere. Fingerprints are computed only while something is suspected; they cover the caller, and bodies that are sent in chunks. A block lasts 60 s and ten times as long after each further crash. An entry stops after as many lost attempts of one call. The frames keep their layout, so that builds before this one still take part in a roll; the field of the call frame that carried a fingerprint is sent empty.

--- a/contract/body.ts
+++ b/contract/body.ts
@@ -31,8 +31,9 @@
   }
 }
 
+const EMPTY_BYTES = new Uint8Array();
 /** A body without content. */
-export const EMPTY_BODY = new BufferedBody(new Uint8Array());
+export const EMPTY_BODY = new BufferedBody(EMPTY_BYTES);
 
 /**
  * Reads a body into memory.
@@ -60,6 +61,45 @@
   return ok(new BufferedBody(parts.length === 1 && only ? only : Buffer.concat(parts)));
 }
 
+/**
+ * Reads a body into memory if it is small.
+ *
+ * @param body The body to read.
+ * @param limitBytes Largest size to buffer, in bytes.
+ * @returns The buffered body; if it is larger or truncated, a body with the same content, part of
+ * which is in transit.
+ */
+export async function bufferIfSmall(body: Body, limitBytes: number): Promise<Body> {
+  const chunks: BodyChunk[] = [];
+  let size = 0;
+  const source = body[Symbol.asyncIterator]();
+  for (;;) {
+    const item = await source.next();
+    if (item.done === true) {
+      return new BufferedBody(Buffer.concat(chunks.map((chunk) => chunk.unwrapOr(EMPTY_BYTES))));
+    }
+    chunks.push(item.value);
+    size += item.value.unwrapOr(EMPTY_BYTES).length;
+    if (item.value.isErr() || size > limitBytes) return continueBody(chunks, source);
+  }
+}
+
+async function* continueBody(
+  chunks: readonly BodyChunk[],
+  source: AsyncIterator<BodyChunk>,
+): AsyncGenerator<BodyChunk> {
+  try {
+    yield* chunks;
+    for (;;) {
+      const item = await source.next();
+      if (item.done === true) return;
+      yield item.value;
+    }
+  } finally {
+    await source.return?.();
+  }
+}
+
 /** Ways in which the transfer of a body ends. */
 export enum BodyEnd {
   Complete = 'whole',
@@ -152,6 +192,17 @@
     return this.#hasExceededLimit;
   }
 
+  /** @returns The whole body, if it was read to its end and all of it is kept. */
+  get completeBytes(): Uint8Array | undefined {
+    if (!this.#hasEnded || this.#hasExceededLimit) return undefined;
+    const parts: Uint8Array[] = [];
+    for (const chunk of this.#chunks) {
+      if (chunk.isErr()) return undefined;
+      parts.push(chunk.value);
+    }
+    return Buffer.concat(parts);
+  }
+
   async *[Symbol.asyncIterator](): AsyncIterator<BodyChunk> {
     this.#readers += 1;
     const reader = this.#readers;
--- a/contract/call.ts
+++ b/contract/call.ts
@@ -52,8 +52,6 @@
   sender: string;
   receiverRole: ReceiverRole;
   call: Call;
-  /** Fingerprint of the call, if quarantine is enabled for its route. */
-  fingerprint: string | undefined;
   /** Whether the call may run late, as other targets are too slow or at their rate as well. */
   acceptsDelay: boolean;
 }
--- /dev/null
+++ b/contract/fingerprint.ts
@@ -0,0 +1,35 @@
+import { createHash } from 'node:crypto';
+import { BufferedBody, ReplayableBody } from './body.ts';
+import type { Call } from './call.ts';
+
+/** Length of a fingerprint; it stands for 128 bits of the digest. */
+const FINGERPRINT_LENGTH = 22;
+
+/**
+ * Computes the fingerprint of a call, which is the same whenever the same caller sends the same
+ * call again, at any entry.
+ *
+ * @param call The call.
+ * @returns Its fingerprint; `undefined` while its body has not been read, or if it is too large to
+ * be kept.
+ */
+export function computeFingerprint({
+  route,
+  callerPool,
+  method,
+  pathAndQuery,
+  body,
+}: Call): string | undefined {
+  const bytes = getCompleteBytes(body);
+  if (!bytes) return undefined;
+  return createHash('sha256')
+    .update(JSON.stringify([route.workspace, callerPool, method, pathAndQuery]))
+    .update(bytes)
+    .digest('base64url')
+    .slice(0, FINGERPRINT_LENGTH);
+}
+
+function getCompleteBytes(body: Call['body']): Uint8Array | undefined {
+  if (body instanceof BufferedBody) return body.bytes;
+  return body instanceof ReplayableBody ? body.completeBytes : undefined;
+}
--- a/contract/mod.ts
+++ b/contract/mod.ts
@@ -13,6 +13,7 @@
 export * from './body.ts';
 export * from './call.ts';
 export * from './deadline.ts';
+export * from './fingerprint.ts';
 export * from './load_state.ts';
 export * from './outcome.ts';
 export * from './refusal.ts';
--- a/contract/route.ts
+++ b/contract/route.ts
@@ -45,7 +45,7 @@
   /** Number of targets that one call may reach. */
   maxAttempts: number;
   bodyLimitBytes: number;
-  /** Whether its calls are fingerprinted to find those that crash targets. */
+  /** Whether calls that crash their targets are found by their fingerprints, and refused. */
   quarantine: boolean;
   /** Whether a slow idempotent call may be sent to a second target. */
   hedge: boolean;
--- a/daemon/control_frame_handler.ts
+++ b/daemon/control_frame_handler.ts
@@ -1,10 +1,8 @@
-import type { Call } from '../contract/mod.ts';
 import type { KeyOwner } from '../idempotency/mod.ts';
-import type { Instance } from '../instance/mod.ts';
 import { FrameKind, type Frame, type HandoverFrame, type PeerLink } from '../link/mod.ts';
 import type { TargetViews } from '../placement/mod.ts';
-import type { DocumentDistributor } from '../distribution/mod.ts';
-import type { Guard, Quarantine } from '../guard/mod.ts';
+import type { CrashReports, DocumentDistributor } from '../distribution/mod.ts';
+import type { Guard } from '../guard/mod.ts';
 import type { ClusterView } from './cluster_view.ts';
 
 /** Options of {@linkcode ControlFrameHandler}. */
@@ -12,11 +10,9 @@
   view: ClusterView;
   targetViews: TargetViews;
   guard: Guard;
-  quarantine: Quarantine;
+  crashReports: CrashReports;
   getOwner: () => KeyOwner;
   getDistributor: () => DocumentDistributor;
-  /** @returns All open links. */
-  getLinks: () => readonly PeerLink[];
 }
 
 /** Handles the frames between daemons that do not belong to an attempt. */
@@ -37,7 +33,7 @@
    * @param frame The frame.
    */
   handle(link: PeerLink, frame: Frame): void {
-    const { view, targetViews, quarantine, getDistributor } = this.#options;
+    const { view, targetViews, crashReports, getDistributor } = this.#options;
     switch (frame.kind) {
       case FrameKind.Leaving:
         targetViews.get(link.peer.instanceId).recordLeaving();
@@ -49,7 +45,7 @@
         this.handoverAckListeners.get(frame.incarnation)?.(frame.accepted);
         break;
       case FrameKind.CrashSuspect:
-        quarantine.recordCrash(frame.fingerprint, frame.instanceId);
+        crashReports.handleFrame(link, frame);
         break;
       case FrameKind.TargetNotice:
         this.#options.guard.recordPeerNotice(frame.notice);
@@ -74,25 +70,6 @@
     if (notice) link.sendFrame({ kind: FrameKind.TargetNotice, notice });
   }
 
-  /**
-   * Reports a call that was in flight when a target crashed to the peers in its home regions.
-   *
-   * @param call The call.
-   * @param fingerprint Its fingerprint.
-   * @param crashed The instance whose target crashed.
-   */
-  broadcastCrash(call: Call, fingerprint: string, crashed: Instance): void {
-    const { view, quarantine, getLinks } = this.#options;
-    const isNew = quarantine.recordCrash(fingerprint, crashed.id);
-    if (!isNew) return;
-    const { topology } = view.snapshot;
-    for (const link of getLinks()) {
-      const region = topology.regionOf(link.peer.failureDomain);
-      if (!call.route.homeRegions.permits(region)) continue;
-      link.sendFrame({ kind: FrameKind.CrashSuspect, fingerprint, instanceId: crashed.id });
-    }
-  }
-
   #takeOver(link: PeerLink, { handover }: HandoverFrame): void {
     const accepted = this.#options.getOwner().takeOver(handover);
     const { incarnation } = handover;
--- a/daemon/crash_causing_call_test.ts
+++ b/daemon/crash_causing_call_test.ts
@@ -99,7 +99,7 @@
   };
   for (let step = 0; step < STEPS; step += 1) {
     if (step % POISON_STEPS === 0) {
-      const pathAndQuery = '/boards/9';
+      const pathAndQuery = '/boards/crashing';
       const headers = [[POISON_HEADER, '1']] as const;
       void cluster.call(pickEntry(), { ...call, pathAndQuery, headers, runId: 'poison' });
     }
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -18,7 +18,7 @@
 import type { Configuration, DocumentSource } from '../configuration/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
 import { reloadSettings, type Settings } from '../settings/mod.ts';
-import { DocumentDistributor } from '../distribution/mod.ts';
+import { CrashReports, DocumentDistributor } from '../distribution/mod.ts';
 import { Guard, Quarantine, type TargetPort } from '../guard/mod.ts';
 import { PauseDetector, sleep, type Subscription, type TimerService } from '../timer/mod.ts';
 import { handOverKeys, type HandoverResult } from './hand_over_keys.ts';
@@ -65,6 +65,7 @@
   readonly #view: ClusterView;
   readonly #targetViews: TargetViews;
   readonly #quarantine: Quarantine;
+  readonly #crashReports: CrashReports;
   readonly #pauseDetector: PauseDetector;
   readonly #pruneTimer: Subscription;
   readonly #controlFrames: ControlFrameHandler;
@@ -86,12 +87,17 @@
     this.#quarantine = new Quarantine(timer, log, settings.quarantine);
     this.#targetViews = new TargetViews(timer);
     this.guard = new Guard({
-      instanceId: instance.id,
       timer,
       log,
       port: target,
       limitKind: decisions.limit,
       quarantine: this.#quarantine,
+      onCrash: (fingerprints) => {
+        void this.#crashReports.reportCrash(fingerprints);
+      },
+      onCleared: (fingerprint) => {
+        void this.#crashReports.reportAnswer(fingerprint);
+      },
       probePeriodMs: settings.target.probePeriodMs,
       getSlots: () => this.#view.fleet.find(instance.id)?.slots,
       getPool: () => this.#view.configuration?.findPool(instance.pool),
@@ -101,14 +107,22 @@
         return this.#view.checkAttempt(attempt, phase);
       },
     });
+    this.#crashReports = new CrashReports({
+      quarantine: this.#quarantine,
+      incarnation: this.incarnation,
+      instanceId: instance.id,
+      failureDomain: instance.failureDomain,
+      getFleet: () => this.#view.fleet,
+      getFollowers: () => this.distributor.followers,
+      openLink: (watcher) => this.#openLink(watcher),
+    });
     this.#controlFrames = new ControlFrameHandler({
       view: this.#view,
       targetViews: this.#targetViews,
       guard: this.guard,
-      quarantine: this.#quarantine,
+      crashReports: this.#crashReports,
       getOwner: () => this.owner,
       getDistributor: () => this.distributor,
-      getLinks: () => this.links.links,
     });
     this.links = this.#makeLinks(options);
     this.owner = new KeyOwner({
@@ -150,6 +164,7 @@
     });
     this.#pruneTimer = timer.every(PRUNE_PERIOD_MS, () => {
       this.#targetViews.prune((id) => this.#view.fleet.find(id) !== undefined);
+      this.#quarantine.prune();
     });
   }
 
@@ -173,6 +188,7 @@
       linkBytesSent: linkBytes.reduce((sum, { sent }) => sum + sent, 0),
       linkBytesReceived: linkBytes.reduce((sum, { received }) => sum + received, 0),
       keptBytes: this.owner.keptBytes,
+      suspectedCalls: this.#quarantine.suspects,
       isWatcher: this.distributor.isWatcher,
       platformReads: this.distributor.platformReads,
     };
@@ -287,6 +303,7 @@
       onOpen: (link) => {
         if (this.#view.isLeaving) link.sendFrame({ kind: FrameKind.Leaving });
         this.#controlFrames.repeatTargetNotice(link);
+        this.#crashReports.repeatTo(link);
         if (this.stage === InstanceStage.Starting) this.distributor.requestUpdates(link);
       },
       services: {
@@ -335,9 +352,6 @@
       quarantine: this.#quarantine,
       placement: new Placement(instance.failureDomain, this.#targetViews, picker),
       getRetryBurst: () => this.#getRetryBurst(),
-      onCrash: (call, fingerprint, crashed) => {
-        this.#controlFrames.broadcastCrash(call, fingerprint, crashed);
-      },
     });
     const { owner, links: peers } = this;
     return new Entry({
@@ -347,6 +361,7 @@
       router,
       getVersion: () => this.#view.version,
       dispatcher,
+      quarantine: this.#quarantine,
       owner,
       relay: new KeyRelay({ timer, owner, peers, attempts, getSnapshot }),
       checkAdmission: () => this.#view.checkCall(),
--- a/daemon/daemon_status.ts
+++ b/daemon/daemon_status.ts
@@ -22,6 +22,8 @@
   linkBytesReceived: number;
   /** Bytes of kept answers and of reservations for them. */
   keptBytes: number;
+  /** Number of calls that are suspected to crash targets. */
+  suspectedCalls: number;
   /** Whether the daemon watches the platform on behalf of others. */
   isWatcher: boolean;
   platformReads: number;
--- a/distribution/document_distributor.ts
+++ b/distribution/document_distributor.ts
@@ -98,6 +98,11 @@
     return this.#getWatchers().some(({ id }) => id === this.#options.instanceId);
   }
 
+  /** @returns Open links to the daemons that follow this one. */
+  get followers(): PeerLink[] {
+    return [...this.#followers.keys()].filter(({ isOpen }) => isOpen);
+  }
+
   /** Starts one task for each document and one for the links to the watchers. */
   start(): void {
     for (const kind of DOCUMENT_KINDS) void this.#watch(kind);
--- a/distribution/mod.ts
+++ b/distribution/mod.ts
@@ -9,4 +9,5 @@
  *
  * @module
  */
+export * from './crash_reports.ts';
 export * from './document_distributor.ts';
--- a/entry/call_progress.ts
+++ b/entry/call_progress.ts
@@ -33,6 +33,7 @@
   readonly #versionMismatches: string[] = [];
   #reachedCount = 0;
   #refusedCount = 0;
+  #lostCount = 0;
   #acceptsDelay = false;
   #mayHaveRun = false;
   #lastRefusal: Refusal | undefined;
@@ -54,6 +55,11 @@
     return this.#call;
   }
 
+  /** @returns Number of attempts of which it is unknown whether their target ran the call. */
+  get lostCount(): number {
+    return this.#lostCount;
+  }
+
   /** @returns Whether the next target accepts the call even if it runs late. */
   get acceptsDelay(): boolean {
     return this.#acceptsDelay;
@@ -156,7 +162,8 @@
   }
 
   #recordRefusal(failure: AttemptFailure, instance: Instance): void {
-    this.#mayHaveRun ||= !isNotRun(failure.kind);
+    if (!isNotRun(failure.kind)) this.#lostCount += 1;
+    this.#mayHaveRun ||= this.#lostCount > 0;
     this.#lastRefusal = failure.refusal;
     this.#startDelayMs = Math.min(this.#startDelayMs, failure.load?.startDelayMs ?? Infinity);
     if (hasReachedTarget(failure)) this.#reachedCount += 1;
--- a/entry/dispatcher.ts
+++ b/entry/dispatcher.ts
@@ -29,7 +29,7 @@
   type TargetViews,
 } from '../placement/mod.ts';
 import { Metric, type Metrics } from '../metrics/mod.ts';
-import type { Quarantine } from '../guard/mod.ts';
+import { checkLostAttempts, checkQuarantine, type Quarantine } from '../guard/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 import type { AttemptCounter } from './attempt_counter.ts';
 import type { CallRouter } from './call_router.ts';
@@ -82,14 +82,6 @@
   router: CallRouter;
   /** @returns The current snapshot. */
   getSnapshot: () => ClusterSnapshot;
-  /**
-   * Called when an attempt of a fingerprinted call fails and the target may have crashed.
-   *
-   * @param call The call.
-   * @param fingerprint Fingerprint of the call.
-   * @param instance Instance of the target.
-   */
-  onCrash: (call: Call, fingerprint: string, instance: Instance) => void;
   /** @returns Number of retries that may be made at each pool in a burst. */
   getRetryBurst?: () => number;
 }
@@ -102,7 +94,6 @@
 
 /** State that a hedged call needs for its attempts. */
 interface HedgeContext {
-  fingerprint: string | undefined;
   /** IDs of the instances that were tried. */
   excluded: Set<string>;
   hedgeBudget: RetryBudget;
@@ -128,23 +119,19 @@
    * Has a call executed by a target.
    *
    * @param call The call; its body must be readable once for each attempt.
-   * @param fingerprint Fingerprint of the call, if its route requires one.
    * @returns Its answer, or a refusal whose outcome states whether it may have run.
    */
-  async dispatch(call: Call, fingerprint: string | undefined): Promise<Result<Answer, Refusal>> {
+  async dispatch(call: Call): Promise<Result<Answer, Refusal>> {
     const progress = new CallProgress(call, this.#recordCall(call));
     for (;;) {
       const refreshed = this.#refreshCall(progress);
       if (refreshed.isErr()) return progress.conclude(refreshed.error);
-      const decided = this.#decideTarget(progress.call, fingerprint, progress.excluded);
+      const decided = this.#decideTarget(progress);
       if (decided.isErr()) {
         if (progress.readmitDelayingTargets()) continue;
         return progress.conclude(decided.error);
       }
-      const result = await this.#attemptOnce(progress.call, decided.value, {
-        fingerprint,
-        progress,
-      });
+      const result = await this.#attemptOnce(progress.call, decided.value, progress);
       if (result.isOk()) {
         if (progress.recordAnswer(result.value)) return ok(result.value);
       } else if (!progress.recordFailure(result.error, decided.value.instance)) {
@@ -182,29 +169,23 @@
   #attemptOnce(
     call: Call,
     decision: PlacementDecision,
-    { fingerprint, progress }: { fingerprint: string | undefined; progress: CallProgress },
+    { excluded, acceptsDelay }: CallProgress,
   ): Promise<AttemptResult> {
-    const { excluded } = progress;
     excluded.add(decision.instance.id);
-    const { acceptsDelay } = progress;
-    if (!call.route.hedge) return this.#attempt(call, decision, { fingerprint, acceptsDelay });
+    if (!call.route.hedge) return this.#attempt(call, decision, acceptsDelay);
     return this.#attemptHedged(call, decision, {
-      fingerprint,
       excluded,
       hedgeBudget: this.#hedgeBudgets.forPool(call.pool),
     });
   }
 
-  #decideTarget(
-    call: Call,
-    fingerprint: string | undefined,
-    excluded: ReadonlySet<string>,
-  ): Result<PlacementDecision, Refusal> {
-    const refusal = this.#checkCall(call, fingerprint);
+  #decideTarget({ call, excluded, lostCount }: CallProgress): Result<PlacementDecision, Refusal> {
+    const { quarantine } = this.#options;
+    const refusal = this.#checkCall(call) ?? checkLostAttempts(quarantine, call, lostCount);
     return refusal ? err(refusal) : this.#chooseTarget(call, excluded);
   }
 
-  #checkCall(call: Call, fingerprint: string | undefined): Refusal | undefined {
+  #checkCall(call: Call): Refusal | undefined {
     if (call.signal.aborted)
       return makeNotRunRefusal(RefusalReason.Cancelled, 'the caller has left');
     if (call.deadline.hasPassed) {
@@ -213,13 +194,7 @@
         'the deadline passed before a target was found',
       );
     }
-    if (fingerprint !== undefined && this.#options.quarantine.isBlocked(fingerprint)) {
-      return makeNotRunRefusal(
-        RefusalReason.Quarantined,
-        'calls like this one coincided with target crashes',
-      );
-    }
-    return undefined;
+    return checkQuarantine(this.#options.quarantine, call);
   }
 
   #chooseTarget(call: Call, excluded: ReadonlySet<string>): Result<PlacementDecision, Refusal> {
@@ -238,19 +213,19 @@
     decision: PlacementDecision,
     context: HedgeContext,
   ): Promise<AttemptResult> {
-    const { fingerprint, excluded, hedgeBudget } = context;
+    const { excluded, hedgeBudget } = context;
     hedgeBudget.recordCall();
-    const fields = { fingerprint, acceptsDelay: false };
-    if (!(call.body instanceof BufferedBody)) return this.#attempt(call, decision, fields);
+    const acceptsDelay = false;
+    if (!(call.body instanceof BufferedBody)) return this.#attempt(call, decision, acceptsDelay);
     return raceHedged(call, {
       timer: this.#options.timer,
       serviceMs: decision.candidate.view.serviceMs,
-      sendFirst: (hedged) => this.#attempt(hedged, decision, fields),
+      sendFirst: (hedged) => this.#attempt(hedged, decision, acceptsDelay),
       prepareSecond: () => {
         const chosen = hedgeBudget.tryAcquire() ? this.#chooseTarget(call, excluded) : undefined;
         if (!chosen?.isOk()) return undefined;
         excluded.add(chosen.value.instance.id);
-        return (hedged) => this.#attempt(hedged, chosen.value, fields);
+        return (hedged) => this.#attempt(hedged, chosen.value, acceptsDelay);
       },
     });
   }
@@ -258,7 +233,7 @@
   async #attempt(
     call: Call,
     decision: PlacementDecision,
-    fields: Pick<Attempt, 'fingerprint' | 'acceptsDelay'>,
+    acceptsDelay: boolean,
   ): Promise<AttemptResult> {
     const opened = await this.#options.peers.open(decision.instance);
     if (opened.isErr()) {
@@ -266,18 +241,18 @@
       return err({ kind: FailureKind.NotSent, refusal: opened.error, load: undefined });
     }
     // While the connection was opened, the caller may have disconnected or the deadline passed.
-    const refusal = this.#checkCall(call, fields.fingerprint);
+    const refusal = this.#checkCall(call);
     if (refusal) return err({ kind: FailureKind.NotSent, refusal, load: undefined });
-    const attempt = this.#makeAttempt(call, fields);
+    const attempt = this.#makeAttempt(call, acceptsDelay);
     const result = await this.#sendAttempt({ decision, attempt, port: opened.value });
     if (result.isErr())
       this.#recordFailure(call, decision.instance, { attempt, failure: result.error });
     return result;
   }
 
-  #makeAttempt(call: Call, fields: Pick<Attempt, 'fingerprint' | 'acceptsDelay'>): Attempt {
+  #makeAttempt(call: Call, acceptsDelay: boolean): Attempt {
     const { sender, sequence } = this.#options.attempts.next();
-    return { sender, sequence, receiverRole: ReceiverRole.Guard, call, ...fields };
+    return { sender, sequence, receiverRole: ReceiverRole.Guard, call, acceptsDelay };
   }
 
   async #sendAttempt({ decision, attempt, port }: OutgoingAttempt): Promise<AttemptResult> {
@@ -328,10 +303,6 @@
       decidedAt: call.version,
     });
     this.#countDisagreement(call, refusal);
-    const isCrash =
-      kind !== FailureKind.Refused && !call.signal.aborted && !call.deadline.hasPassed;
-    if (!isCrash || attempt.fingerprint === undefined) return;
-    this.#options.onCrash(call, attempt.fingerprint, instance);
   }
 
   #countDisagreement(call: Call, { reason, version }: Refusal): void {
--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -1,4 +1,4 @@
-import { createHash, randomUUID } from 'node:crypto';
+import { randomUUID } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
 import {
   CollectFailure,
@@ -6,6 +6,7 @@
   Outcome,
   RefusalReason,
   ReplayableBody,
+  bufferIfSmall,
   Repeatability,
   BufferedBody,
   collectBody,
@@ -23,6 +24,7 @@
   type Route,
 } from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
+import type { Quarantine } from '../guard/mod.ts';
 import type { KeyOwner } from '../idempotency/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 import { pathOf, type CallRouter, type ResolvedRoute } from './call_router.ts';
@@ -75,6 +77,7 @@
   timer: TimerService;
   log: EventLog;
   dispatcher: Dispatcher;
+  quarantine: Quarantine;
   owner: KeyOwner;
   relay: KeyRelay;
   /** Pool of the daemon's own instance. */
@@ -182,12 +185,11 @@
   async #execute(call: Call, req: CallerRequest): Promise<Result<Answer, Refusal>> {
     if (call.route.repeatability === Repeatability.NonIdempotent) return this.#executeKeyed(call);
     const isSmall = req.contentLength !== undefined && req.contentLength <= SMALL_BODY_BYTES;
-    if (!isSmall && !call.route.quarantine) return this.#executeStreamed(call);
+    if (!isSmall) return this.#executeStreamed(call);
     const limit = Math.min(call.route.bodyLimitBytes, SMALL_BODY_BYTES);
-    const body = await collectBody(call.body, isSmall ? limit : call.route.bodyLimitBytes);
+    const body = await collectBody(call.body, limit);
     if (body.isErr()) return err(makeBodyRefusal(body.error, call.route));
-    const buffered = { ...call, body: body.value };
-    return this.#dispatchUntilDeadline(buffered, computeFingerprint(buffered));
+    return this.#dispatchUntilDeadline({ ...call, body: body.value });
   }
 
   async #executeStreamed(call: Call): Promise<Result<Answer, Refusal>> {
@@ -197,10 +199,13 @@
       limit.isExceeded = true;
     };
     const limited = limitBody(call.body, route.bodyLimitBytes, { onExceeded });
-    const body = new ReplayableBody(limited);
-    const result = await this.#dispatchUntilDeadline({ ...call, body }, undefined);
+    // Whether a call is quarantined can only be told before it is sent if its body is known.
+    const isBodyNeeded = route.quarantine && this.#options.quarantine.hasSuspects;
+    const started = isBodyNeeded ? await bufferIfSmall(limited, SMALL_BODY_BYTES) : limited;
+    const body = started instanceof BufferedBody ? started : new ReplayableBody(started);
+    const result = await this.#dispatchUntilDeadline({ ...call, body });
     if (result.isOk()) return result;
-    await body.cancel();
+    if (body instanceof ReplayableBody) await body.cancel();
     const tooLarge = makeBodyRefusal(CollectFailure.TooLarge, route);
     // The target received the start of the body, so the call may have run.
     return err(
@@ -229,17 +234,14 @@
   }
 
   #dispatchOwned(call: Call): Promise<Result<Answer, Refusal>> {
-    return this.#dispatchUntilDeadline(call, computeFingerprint(call));
+    return this.#dispatchUntilDeadline(call);
   }
 
-  async #dispatchUntilDeadline(
-    call: Call,
-    fingerprint: string | undefined,
-  ): Promise<Result<Answer, Refusal>> {
+  async #dispatchUntilDeadline(call: Call): Promise<Result<Answer, Refusal>> {
     const expiry = !runsAtMostOnce(call.route)
       ? this.#options.timer.after(call.deadline.leftMs, call.cancel)
       : undefined;
-    const result = await this.#options.dispatcher.dispatch(call, fingerprint);
+    const result = await this.#options.dispatcher.dispatch(call);
     const cancelExpiry = () => {
       expiry?.cancel();
     };
@@ -320,10 +322,3 @@
   const detail = `expected a depth below ${MAX_DEPTH}, got "${text.slice(0, 40)}"`;
   return err(makeNotRunRefusal(RefusalReason.TooDeep, detail));
 }
-
-function computeFingerprint(call: Call): string | undefined {
-  if (!call.route.quarantine || !(call.body instanceof BufferedBody)) return undefined;
-  const { workspace, name } = call.route;
-  const subject = `${workspace}/${name} ${call.method} ${call.pathAndQuery}\n`;
-  return createHash('sha256').update(subject).update(call.body.bytes).digest('base64url');
-}
--- a/entry/key_relay.ts
+++ b/entry/key_relay.ts
@@ -103,7 +103,6 @@
       sequence,
       receiverRole,
       call,
-      fingerprint: undefined,
       acceptsDelay: true,
     };
     return awaitResult(port.send(attempt), this.#options.timer, call.deadline.leftMs + GRACE_MS);
--- a/event_log/event.ts
+++ b/event_log/event.ts
@@ -22,6 +22,7 @@
   PlatformUnreachable = 'platform-unreachable',
   EntryUnreadable = 'entry-unreadable',
   TargetColdStart = 'target-cold-start',
+  TargetCrashed = 'target-crashed',
   TargetWarm = 'target-warm',
   TargetNotice = 'target-notice',
   FingerprintQuarantined = 'fingerprint-quarantined',
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -1,9 +1,11 @@
 import { err, ok, type Result } from 'neverthrow';
 import {
   BodyEnd,
+  BufferedBody,
   CollectFailure,
   FailureKind,
   RefusalReason,
+  ReplayableBody,
   Repeatability,
   TargetStage,
   cancelBody,
@@ -28,10 +30,11 @@
 import { Event, type EventLog } from '../event_log/mod.ts';
 import type { Subscription, TimerService } from '../timer/mod.ts';
 import { AttemptLedger } from './attempt_ledger.ts';
+import { CrashDetector } from './crash_detector.ts';
 import { makeLimit, type ConcurrencyLimit, type LimitKind } from './concurrency_limit.ts';
 import { AdmissionQueue, type AdmissionLimits } from './admission_queue.ts';
 import { NoticeSource, NoticeTracker } from './notice_tracker.ts';
-import { Quarantine } from './quarantine.ts';
+import { checkQuarantine, type Quarantine } from './quarantine.ts';
 import { RateLimit } from './rate_limit.ts';
 import { ServiceTimeAverage } from './service_time_average.ts';
 import { TargetHealth } from './target_health.ts';
@@ -71,13 +74,23 @@
 
 /** Options of {@linkcode Guard}. */
 export interface GuardOptions {
-  /** ID of the instance whose target is guarded. */
-  instanceId: string;
   timer: TimerService;
   log: EventLog;
   port: TargetPort;
   limitKind: LimitKind;
   quarantine: Quarantine;
+  /**
+   * Called once for each crash of the target.
+   *
+   * @param fingerprints Fingerprints of the calls that were running.
+   */
+  onCrash: (fingerprints: readonly string[]) => void;
+  /**
+   * Called when the target has answered a call that was suspected to crash targets.
+   *
+   * @param fingerprint Fingerprint of the call.
+   */
+  onCleared: (fingerprint: string) => void;
   /**
    * Period between probes of the target, in milliseconds. If absent, only a
    * target that gets no calls is probed.
@@ -119,6 +132,7 @@
   readonly #slowdownTracker: SlowdownTracker;
   readonly #notices: NoticeTracker;
   readonly #rateLimit: RateLimit;
+  readonly #crashDetector: CrashDetector;
 
   /** @param options See {@linkcode GuardOptions}. */
   constructor(options: GuardOptions) {
@@ -143,6 +157,14 @@
       },
     });
     this.#rateLimit = new RateLimit(options.timer);
+    this.#crashDetector = new CrashDetector({
+      timer: options.timer,
+      log: options.log,
+      port: options.port,
+      getPath: () => options.getPool()?.healthPath,
+      getTargetId: () => this.#health.targetId,
+      onCrash: options.onCrash,
+    });
     this.#slowdownTracker = new SlowdownTracker(options.timer);
     this.#queue = new AdmissionQueue(options.timer, () => this.#readAdmissionLimits());
     this.#ledger = new AttemptLedger(options.timer);
@@ -242,7 +264,7 @@
   }
 
   #checkAttempt(attempt: Attempt, phase: AdmissionPhase): Refusal | undefined {
-    const { call, fingerprint } = attempt;
+    const { call } = attempt;
     if (call.signal.aborted) {
       return makeNotRunRefusal(
         RefusalReason.Cancelled,
@@ -255,12 +277,8 @@
         'the deadline passed before the target was reached',
       );
     }
-    if (fingerprint !== undefined && this.#options.quarantine.isBlocked(fingerprint)) {
-      return makeNotRunRefusal(
-        RefusalReason.Quarantined,
-        'calls like this one coincided with target crashes',
-      );
-    }
+    const quarantined = checkQuarantine(this.#options.quarantine, call);
+    if (quarantined) return quarantined;
     if (this.#notices.notice?.isLeaving === true) return makeTargetLeavingRefusal();
     if (this.#health.isDown)
       return makeNotRunRefusal(RefusalReason.TargetDown, 'the target is not listening');
@@ -349,9 +367,10 @@
     const hadNoSlowdown = this.#slowdownTracker.slowdown <= 1;
     if (inFlight > this.#readLimit()) this.#overLimitCount += 1;
     const executionLimit = this.#limitExecution(attempt.call);
-    const result = await this.#runTarget(attempt, executionLimit.signal);
+    const call = makeFingerprintable(attempt.call);
+    const result = await this.#runTarget(call, executionLimit.signal);
     const elapsedMs = this.#timer.now() - startMs;
-    this.#recordResult(attempt, result, { elapsedMs, inFlight, sentAtMs: startMs });
+    this.#recordResult(call, result, { elapsedMs, inFlight, sentAtMs: startMs });
     if (hadNoSlowdown && result.isOk() && !result.value.shed) {
       this.#slowdownTracker.recordExecution(attempt.call.route.name, elapsedMs);
     }
@@ -373,7 +392,7 @@
     return ok(this.#releaseAfterBody(result.value, executionLimit));
   }
 
-  #runTarget({ call }: Attempt, signal: AbortSignal): Promise<Result<TargetAnswer, TargetFailure>> {
+  #runTarget(call: Call, signal: AbortSignal): Promise<Result<TargetAnswer, TargetFailure>> {
     const { id: callId, callerPool, method, pathAndQuery, headers, body } = call;
     const { leftMs } = call.deadline;
     const { targetId } = this.#health;
@@ -406,16 +425,14 @@
   }
 
   #recordResult(
-    attempt: Attempt,
+    call: Call,
     result: Result<TargetAnswer, TargetFailure>,
     { elapsedMs, inFlight, sentAtMs }: { elapsedMs: number; inFlight: number; sentAtMs: number },
   ): void {
     if (result.isErr()) {
-      this.#recordFailure(attempt, result.error);
+      this.#recordFailure(call, result.error);
       return;
     }
-    if (attempt.fingerprint !== undefined)
-      this.#options.quarantine.recordAnswer(attempt.fingerprint);
     const succeeded = result.value.status < SERVER_ERROR_STATUS;
     const { targetId, shed, reported, statement } = result.value;
     this.#slowdownTracker.recordReport(reported);
@@ -423,19 +440,21 @@
     const source = shed ? NoticeSource.Shed : NoticeSource.Answer;
     this.#notices.record({ statement, sentAtMs, source });
     if (shed) return;
+    const cleared = succeeded ? this.#options.quarantine.recordAnsweredCall(call) : undefined;
+    if (cleared !== undefined) this.#options.onCleared(cleared);
     this.#serviceTime.record(elapsedMs);
     this.#limit.record({ elapsedMs, inFlight, succeeded });
-    const inTime = succeeded && !attempt.call.deadline.hasPassed;
+    const inTime = succeeded && !call.deadline.hasPassed;
     this.#warmUp.recordAnswer(inTime, this.#limit.current);
   }
 
-  #recordFailure(attempt: Attempt, failure: TargetFailure): void {
+  #recordFailure(call: Call, failure: TargetFailure): void {
     switch (failure.kind) {
       case TargetFailureKind.NotSent:
         this.#health.recordConnectionRefused();
         break;
       case TargetFailureKind.ConnectionLost:
-        this.#recordCrash(attempt);
+        this.#crashDetector.recordLost(call);
         this.#health.recordConnectionLost();
         break;
       case TargetFailureKind.MalformedAnswer:
@@ -443,16 +462,11 @@
         break;
       case TargetFailureKind.Cancelled:
         // A caller that disconnects is no sign of a slow target.
-        if (attempt.call.deadline.hasPassed) this.#warmUp.recordAnswer(false, this.#limit.current);
+        if (call.deadline.hasPassed) this.#warmUp.recordAnswer(false, this.#limit.current);
         break;
     }
   }
 
-  #recordCrash({ fingerprint }: Attempt): void {
-    if (fingerprint === undefined) return;
-    this.#options.quarantine.recordCrash(fingerprint, this.#options.instanceId);
-  }
-
   #toAttemptResult(failure: TargetFailure): AttemptResult {
     if (failure.kind === TargetFailureKind.NotSent) {
       return this.#fail(
@@ -541,6 +555,12 @@
   }
 }
 
+/** Keeps the start of a streamed body, so that its call has a fingerprint if the target crashes. */
+function makeFingerprintable(call: Call): Call {
+  if (!call.route.quarantine || call.body instanceof BufferedBody) return call;
+  return { ...call, body: new ReplayableBody(call.body) };
+}
+
 function makeTargetLeavingRefusal(): Refusal {
   return makeNotRunRefusal(RefusalReason.Leaving, 'the target says that it is leaving');
 }
--- a/guard/mod.ts
+++ b/guard/mod.ts
@@ -14,6 +14,7 @@
  */
 export * from './attempt_ledger.ts';
 export * from './concurrency_limit.ts';
+export * from './crash_detector.ts';
 export * from './admission_queue.ts';
 export * from './guard.ts';
 export * from './notice_tracker.ts';
--- a/guard/quarantine.ts
+++ b/guard/quarantine.ts
@@ -1,3 +1,10 @@
+import {
+  RefusalReason,
+  computeFingerprint,
+  makeNotRunRefusal,
+  type Call,
+  type Refusal,
+} from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
 
@@ -5,45 +12,54 @@
 export interface QuarantineOptions {
   /** Number of crashes during calls with a fingerprint after which it is blocked. */
   coincidences?: number;
-  /** Time for which a fingerprint is blocked, in milliseconds. */
+  /** Time for which a fingerprint is blocked at first, in milliseconds. */
   blockMs?: number;
-  /** Time for which a crash or an answer counts, in milliseconds. */
-  crashWindowMs?: number;
+}
+
+/** A crash of a target while calls with a fingerprint were running. */
+export interface CrashCoincidence {
+  fingerprint: string;
+  /** Identifier of the crash. */
+  crashId: string;
 }
 
 const DEFAULT_COINCIDENCES = 2;
 const DEFAULT_BLOCK_MS = 60_000;
-const DEFAULT_CRASH_WINDOW_MS = 30_000;
-/** Largest number of fingerprints to keep. */
-const MAX_SUSPECTS = 4_096;
-
-/** Time within which several crashes of one instance count as one, in milliseconds. */
-const SAME_CRASH_MS = 1_000;
-
-interface Crash {
-  instanceId: string;
-  atMs: number;
-}
+/** Factor by which each further block is longer than the one before. */
+const BLOCK_GROWTH = 10;
+const MAX_BLOCK_MS = 36_000_000;
+/** Time for which a crash counts, in milliseconds; a call that crashes targets may be rare. */
+const CRASH_WINDOW_MS = 600_000;
+/** Time after an answer for which crashes during calls with its fingerprint do not count. */
+const ANSWER_WINDOW_MS = 30_000;
+/** Largest number of fingerprints, and of crashes, to keep. */
+const MAX_RECORDS = 4_096;
+/** Largest number of coincidences to tell a peer. */
+const MAX_REPEATED = 256;
 
 interface Suspect {
-  /** Crashes while a call with the fingerprint was in flight. */
-  crashes: readonly Crash[];
+  /** Crashes while a call with the fingerprint was running, by identifier. */
+  crashesAtMs: Map<string, number>;
   blockedUntilMs: number;
+  /** Number of blocks so far. */
+  blocks: number;
 }
 
 /**
  * Detects calls that crash the targets that run them. Blocks a fingerprint for
- * a while if calls with it were in flight at several crashes and none of them
+ * a while if calls with it were running at several crashes and none of them
  * has been answered since.
  */
 export class Quarantine {
   readonly #timer: TimerService;
   readonly #log: EventLog;
-  readonly #coincidences: number;
+  /** Number of crashes during calls with a fingerprint after which it is blocked. */
+  readonly coincidenceLimit: number;
   readonly #blockMs: number;
-  readonly #crashWindowMs: number;
   readonly #suspects = new Map<string, Suspect>();
   readonly #answeredAtMs = new Map<string, number>();
+  /** Coincidences recorded before, so that one that peers repeat is counted once. */
+  readonly #recorded = new Map<string, true>();
 
   /**
    * @param timer The clock.
@@ -53,9 +69,26 @@
   constructor(timer: TimerService, log: EventLog, options: QuarantineOptions = {}) {
     this.#timer = timer;
     this.#log = log;
-    this.#coincidences = options.coincidences ?? DEFAULT_COINCIDENCES;
+    this.coincidenceLimit = options.coincidences ?? DEFAULT_COINCIDENCES;
     this.#blockMs = options.blockMs ?? DEFAULT_BLOCK_MS;
-    this.#crashWindowMs = options.crashWindowMs ?? DEFAULT_CRASH_WINDOW_MS;
+  }
+
+  /** @returns Number of suspected fingerprints. */
+  get suspects(): number {
+    return this.#suspects.size;
+  }
+
+  /** @returns Whether any fingerprint is suspected. */
+  get hasSuspects(): boolean {
+    return this.#suspects.size > 0;
+  }
+
+  /** @returns The newest coincidences of suspected fingerprints, for a peer that may not know them. */
+  get coincidences(): CrashCoincidence[] {
+    const all = [...this.#suspects].flatMap(([fingerprint, { crashesAtMs }]) =>
+      [...crashesAtMs.keys()].map((crashId) => ({ fingerprint, crashId })),
+    );
+    return all.slice(-MAX_REPEATED);
   }
 
   /**
@@ -63,56 +96,146 @@
    * @returns Whether it is blocked.
    */
   isBlocked(fingerprint: string): boolean {
-    const suspect = this.#suspects.get(fingerprint);
-    return suspect !== undefined && this.#timer.now() < suspect.blockedUntilMs;
+    return this.#getBlockLeftMs(fingerprint) > 0;
+  }
+
+  /**
+   * Checks whether a call is blocked. Computes no fingerprint while none is suspected.
+   *
+   * @param call The call.
+   * @returns Time left of the block, in milliseconds; zero if the call is not blocked.
+   */
+  getBlockLeftMs(call: Call): number {
+    const fingerprint = this.#fingerprintIfNeeded(call);
+    return fingerprint === undefined ? 0 : this.#getBlockLeftMs(fingerprint);
+  }
+
+  /**
+   * Records that a target has answered a call.
+   *
+   * @param call The call.
+   * @returns Its fingerprint if it was suspected and no longer is.
+   */
+  recordAnsweredCall(call: Call): string | undefined {
+    const fingerprint = this.#fingerprintIfNeeded(call);
+    if (fingerprint === undefined || !this.recordAnswer(fingerprint)) return undefined;
+    return fingerprint;
   }
 
   /**
    * Clears a fingerprint after a target has answered a call with it.
    *
    * @param fingerprint Fingerprint of the call.
+   * @returns Whether it was suspected.
    */
-  recordAnswer(fingerprint: string): void {
-    this.#suspects.delete(fingerprint);
+  recordAnswer(fingerprint: string): boolean {
     this.#answeredAtMs.delete(fingerprint);
     this.#answeredAtMs.set(fingerprint, this.#timer.now());
     dropOldest(this.#answeredAtMs);
+    return this.#suspects.delete(fingerprint);
   }
 
   /**
-   * Records that a target crashed while a call was in flight.
+   * Records that a target crashed while a call was running.
    *
    * @param fingerprint Fingerprint of the call.
-   * @param instanceId Instance whose target crashed.
+   * @param crashId Identifier of the crash.
    * @returns Whether the crash was new for this fingerprint.
    */
-  recordCrash(fingerprint: string, instanceId: string): boolean {
+  recordCrash(fingerprint: string, crashId: string): boolean {
+    const key = `${fingerprint} ${crashId}`;
+    if (this.#recorded.has(key)) return false;
+    this.#recorded.set(key, true);
+    dropOldest(this.#recorded);
     const nowMs = this.#timer.now();
     const answeredAtMs = this.#answeredAtMs.get(fingerprint) ?? -Infinity;
-    if (nowMs - answeredAtMs < this.#crashWindowMs) return false;
-    const known = this.#suspects.get(fingerprint);
-    const recent = (known?.crashes ?? []).filter(({ atMs }) => nowMs - atMs < this.#crashWindowMs);
-    const isSameCrash = (crash: Crash) =>
-      crash.instanceId === instanceId && nowMs - crash.atMs < SAME_CRASH_MS;
-    if (recent.some(isSameCrash)) return false;
-    this.#updateSuspect(fingerprint, [...recent, { instanceId, atMs: nowMs }]);
+    if (nowMs - answeredAtMs < ANSWER_WINDOW_MS) return false;
+    const suspect = this.#suspects.get(fingerprint) ?? {
+      crashesAtMs: new Map<string, number>(),
+      blockedUntilMs: 0,
+      blocks: 0,
+    };
+    this.#suspects.delete(fingerprint);
+    this.#suspects.set(fingerprint, suspect);
+    dropOldest(this.#suspects);
+    dropExpired(suspect, nowMs);
+    suspect.crashesAtMs.set(crashId, nowMs);
+    this.#blockIfConfirmed(fingerprint, suspect);
     return true;
   }
 
-  #updateSuspect(fingerprint: string, crashes: readonly Crash[]): void {
-    const isBlocked = crashes.length >= this.#coincidences;
-    const blockedUntilMs = isBlocked ? this.#timer.now() + this.#blockMs : 0;
-    this.#suspects.delete(fingerprint);
-    this.#suspects.set(fingerprint, { crashes, blockedUntilMs });
-    dropOldest(this.#suspects);
-    if (!isBlocked) return;
-    const fields = { crashes: crashes.length, blockMs: this.#blockMs };
-    this.#log.write(Event.FingerprintQuarantined, fields);
+  /** Drops the fingerprints that are neither blocked nor have crashed a target lately. */
+  prune(): void {
+    const nowMs = this.#timer.now();
+    for (const [fingerprint, suspect] of this.#suspects) {
+      dropExpired(suspect, nowMs);
+      const isBlocked = nowMs < suspect.blockedUntilMs;
+      if (!isBlocked && suspect.crashesAtMs.size === 0) this.#suspects.delete(fingerprint);
+    }
+  }
+
+  #blockIfConfirmed(fingerprint: string, suspect: Suspect): void {
+    const nowMs = this.#timer.now();
+    const isConfirmed = suspect.blocks > 0 || suspect.crashesAtMs.size >= this.coincidenceLimit;
+    if (!isConfirmed || nowMs < suspect.blockedUntilMs) return;
+    const blockMs = Math.min(this.#blockMs * BLOCK_GROWTH ** suspect.blocks, MAX_BLOCK_MS);
+    suspect.blocks += 1;
+    suspect.blockedUntilMs = nowMs + blockMs;
+    const crashes = suspect.crashesAtMs.size;
+    this.#log.write(Event.FingerprintQuarantined, { fingerprint, crashes, blockMs });
+  }
+
+  #getBlockLeftMs(fingerprint: string): number {
+    const blockedUntilMs = this.#suspects.get(fingerprint)?.blockedUntilMs ?? 0;
+    return Math.max(0, blockedUntilMs - this.#timer.now());
+  }
+
+  #fingerprintIfNeeded(call: Call): string | undefined {
+    return this.hasSuspects && call.route.quarantine ? computeFingerprint(call) : undefined;
+  }
+}
+
+/**
+ * Checks whether a call may be sent to a target.
+ *
+ * @param quarantine The quarantine.
+ * @param call The call.
+ * @returns A refusal if the call is blocked.
+ */
+export function checkQuarantine(quarantine: Quarantine, call: Call): Refusal | undefined {
+  const retryAfterMs = quarantine.getBlockLeftMs(call);
+  if (retryAfterMs === 0) return undefined;
+  const detail = 'calls like this one were running when targets crashed';
+  return { ...makeNotRunRefusal(RefusalReason.Quarantined, detail), retryAfterMs };
+}
+
+/**
+ * Checks whether a call may be sent to a further target. An entry cannot tell at once whether the
+ * targets of the attempts that it has lost have crashed.
+ *
+ * @param quarantine The quarantine.
+ * @param call The call.
+ * @param lostCount Number of its attempts without a result.
+ * @returns A refusal if they are as many as the crashes for which a call is blocked.
+ */
+export function checkLostAttempts(
+  { coincidenceLimit }: Quarantine,
+  call: Call,
+  lostCount: number,
+): Refusal | undefined {
+  if (!call.route.quarantine || lostCount < coincidenceLimit) return undefined;
+  const detail = `the results of ${lostCount} attempts were lost`;
+  return makeNotRunRefusal(RefusalReason.Quarantined, detail);
+}
+
+function dropExpired({ crashesAtMs }: Suspect, nowMs: number): void {
+  for (const [crashId, atMs] of crashesAtMs) {
+    if (nowMs - atMs >= CRASH_WINDOW_MS) crashesAtMs.delete(crashId);
   }
 }
 
 function dropOldest(records: Map<string, unknown>): void {
-  if (records.size <= MAX_SUSPECTS) return;
+  if (records.size <= MAX_RECORDS) return;
   for (const oldest of records.keys()) {
     records.delete(oldest);
     return;
--- a/guard/unbounded_answer_test.ts
+++ b/guard/unbounded_answer_test.ts
@@ -77,7 +77,6 @@
     sender: 'entry',
     sequence: 1,
     receiverRole: ReceiverRole.Guard,
-    fingerprint: undefined,
     acceptsDelay: false,
     call: makeExampleCall(timer, { route: { ...ROUTE, repeatability } }),
   };
@@ -102,7 +101,6 @@
   const log = new MemoryLog(100);
   const target = new TricklingTarget(timer);
   const guard = new Guard({
-    instanceId: 'boards-1',
     timer,
     log,
     port: target,
@@ -113,6 +111,8 @@
     getPool: () => undefined,
     getVersion: () => 1,
     checkAdmission: () => undefined,
+    onCrash: () => undefined,
+    onCleared: () => undefined,
   });
   let end = 'not complete';
   void guard.send(makeAttempt(timer, repeatability)).then(async (result) => {
--- a/link/call_frames.ts
+++ b/link/call_frames.ts
@@ -44,7 +44,7 @@
     insists: attempt.acceptsDelay,
     depth: call.depth,
     key: selectKey(call),
-    fingerprint: attempt.fingerprint ?? null,
+    fingerprint: null,
     version: call.version,
     body: call.body instanceof BufferedBody ? call.body.bytes : null,
   };
@@ -102,7 +102,6 @@
     sequence: frame.sequence,
     receiverRole: frame.leg,
     call,
-    fingerprint: frame.fingerprint ?? undefined,
     acceptsDelay: frame.insists,
   };
 }
--- a/link/frame.ts
+++ b/link/frame.ts
@@ -42,7 +42,7 @@
   /** Hands keys over to a successor. */
   Handover = 16,
   HandoverAck = 17,
-  /** Reports a call that was in flight when a target crashed. */
+  /** Reports a call that was running when a target crashed, or that it is suspected no longer. */
   CrashSuspect = 18,
   /** Repeats what the receiver's target has asked of its callers, which a restarted guard has lost. */
   TargetNotice = 19,
@@ -81,7 +81,8 @@
   insists: boolean;
   depth: number;
   key: string | null;
-  fingerprint: string | null;
+  /** Not used any more; peers of earlier builds expect the field. */
+  fingerprint: null;
   version: number;
   /** The complete body if it is buffered; otherwise data frames follow. */
   body: Uint8Array | null;
@@ -192,7 +193,8 @@
 export interface CrashSuspectFrame {
   kind: FrameKind.CrashSuspect;
   fingerprint: string;
-  instanceId: string;
+  /** Identifier of the crash; empty if a target has answered such a call since. */
+  crashId: string;
 }
 
 export interface TargetNoticeFrame {
--- /dev/null
+++ b/tap-snapshots/dist/contract/fingerprint_test.js.test.cjs
@@ -0,0 +1,20 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`dist/contract/fingerprint_test.js > TAP > computeFingerprint() is the same however a call is sent, and only then > fingerprints 1`] = `
+Array [
+  "not yet read: none",
+  "sent in chunks: the same",
+  "sent in chunks, buffered: the same",
+  "sent in chunks, above the limit: none",
+  "another body: another",
+  "another pathAndQuery: another",
+  "another callerPool: another",
+  "another method: another",
+  "another id: the same",
+]
+`
