A platform that is restored from a copy takes nothing back, and its changes are in force

Cause: versions were made of the store's revisions alone. A watch from a revision that was given out again missed what came before it. Class: an order that rests on a counter of another system that may go back.

The documents in force come with each read now, in place of the list that the reader itself had published last.

--- a/configuration/document_source.ts
+++ b/configuration/document_source.ts
@@ -1,5 +1,7 @@
 import type { Result } from 'neverthrow';
-import type { DocumentKind } from './document_kind.ts';
+import type { ConfigurationDocument } from './configuration_schema.ts';
+import { DocumentKind } from './document_kind.ts';
+import type { FleetDocument } from './fleet_schema.ts';
 
 /** One version of a document, as text. */
 export interface PublishedDocument {
@@ -12,11 +14,19 @@
   detail: string;
 }
 
+/** The documents in force at a daemon; absent before a version has been applied. */
+export interface DocumentsInForce {
+  [DocumentKind.Configuration]?: ConfigurationDocument;
+  [DocumentKind.Fleet]?: FleetDocument;
+}
+
 /** Request for one document of the platform. */
 export interface ReadRequest {
   document: DocumentKind;
   /** Version that the reader has; only a newer one is returned. */
   afterVersion: number;
+  /** Documents that the reader has, from the platform or from peers. */
+  inForce: DocumentsInForce;
   /** Longest wait for a newer version, in milliseconds; zero to return at once. */
   waitMs: number;
 }
--- a/configuration/document_store.ts
+++ b/configuration/document_store.ts
@@ -6,6 +6,7 @@
 import type { Fleet } from '../instance/mod.ts';
 import { Configuration } from './configuration.ts';
 import { DocumentKind } from './document_kind.ts';
+import type { DocumentsInForce } from './document_source.ts';
 import { fleetSchema, toFleet } from './fleet_schema.ts';
 
 /** A version of a document, complete or as a patch, that the platform or a peer offers. */
@@ -73,6 +74,7 @@
     [DocumentKind.Configuration]: NO_DOCUMENT,
     [DocumentKind.Fleet]: NO_DOCUMENT,
   };
+  readonly #inForce: DocumentsInForce = {};
   #rejected: RejectedVersion | undefined;
 
   /** @param listener Called with each version that is applied. */
@@ -86,6 +88,11 @@
     return isNewer ? this.#rejected : undefined;
   }
 
+  /** @returns The documents in force. */
+  get inForce(): DocumentsInForce {
+    return this.#inForce;
+  }
+
   /**
    * Returns the version of a document that is in force.
    *
@@ -147,6 +154,7 @@
     if (kind === DocumentKind.Fleet) {
       return checkDocument(source, fleetSchema).map(({ value }) => {
         this.#store(kind, version, value);
+        this.#inForce[DocumentKind.Fleet] = value;
         this.#listener.onFleet(toFleet({ ...value, version }));
       });
     }
@@ -154,6 +162,7 @@
       if (configuration.version !== version)
         return err([makeVersionFinding(source, configuration, version)]);
       this.#store(kind, version, configuration.document);
+      this.#inForce[DocumentKind.Configuration] = configuration.document;
       this.#listener.onConfiguration(configuration);
       return ok(undefined);
     });
--- a/configuration/outage_grace_period.ts
+++ b/configuration/outage_grace_period.ts
@@ -39,6 +39,11 @@
   /** Records a successful read of the list; the first one after an outage starts the period. */
   recordSuccess(): void {
     if (!this.#isPlatformUnavailable) return;
+    this.start();
+  }
+
+  /** Starts the period, for example after the platform was restored from a copy. */
+  start(): void {
     this.#isPlatformUnavailable = false;
     this.#missingIds = undefined;
     this.#endsAtMs = this.#timer.now() + GRACE_MS;
@@ -47,7 +52,7 @@
   /**
    * Adds the instances that are missing since the outage, marked as lapsed, while the period runs.
    *
-   * @param previous The list last published.
+   * @param previous The list in force.
    * @param next The list just read.
    * @returns The list to publish.
    */
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -204,16 +204,17 @@
     return this.#view.stage;
   }
 
-  /** Fetches the newest versions and starts to serve; resolves once it serves or is stopped. */
+  /** Fetches the newest versions and starts to serve; resolves once it follows changes or is stopped. */
   async start(): Promise<void> {
     const { id, failureDomain } = this.#settings.instance;
     await this.#versionSync.syncUntilComplete();
-    if (this.#stopController.signal.aborted) return;
-    this.distributor.start();
+    if (this.#isStopped()) return;
     this.#view.stage = InstanceStage.Live;
     const { version } = this.#view;
     const { incarnation } = this;
     this.#log.write(Event.DaemonStarted, { instance: id, failureDomain, incarnation, version });
+    await this.#versionSync.learnFromPeers();
+    if (!this.#isStopped()) this.distributor.start();
   }
 
   /**
@@ -274,6 +275,10 @@
     this.links.terminateAll();
   }
 
+  #isStopped(): boolean {
+    return this.#stopController.signal.aborted;
+  }
+
   #makeClusterView(): ClusterView {
     return new ClusterView({
       timer: this.#timer,
--- a/daemon/version_sync.ts
+++ b/daemon/version_sync.ts
@@ -54,14 +54,26 @@
    * @returns Whether the platform answered.
    */
   async syncOnce(): Promise<boolean> {
-    const { timer, distributor, signal, openLink } = this.#options;
+    const { distributor } = this.#options;
     const isAnswered = await distributor.readOnce();
-    if (isAnswered && this.#options.isLinearizable) return true;
+    if (!isAnswered || !this.#options.isLinearizable) await this.#askPeers();
+    return isAnswered;
+  }
+
+  /**
+   * Requests updates from peers before the platform is read again, if that was not done yet: a
+   * platform that was just restored from a copy may have lost versions that peers have in force.
+   */
+  async learnFromPeers(): Promise<void> {
+    if (this.#options.isLinearizable) await this.#askPeers();
+  }
+
+  async #askPeers(): Promise<void> {
+    const { timer, distributor, signal, openLink } = this.#options;
     const links = await Promise.all(this.#selectPeers().map(openLink));
     const openLinks = links.filter((each) => each !== undefined);
     for (const each of openLinks) distributor.requestUpdates(each);
     if (openLinks.length > 0) await sleep(timer, PEER_UPDATE_WAIT_MS, { signal });
-    return isAnswered;
   }
 
   #selectPeers(): Instance[] {
--- a/distribution/document_distributor.ts
+++ b/distribution/document_distributor.ts
@@ -162,6 +162,9 @@
         if (frame.follow) this.#followers.set(link, { sentVersions });
         this.#sendUpdates(link, { sentVersions });
         this.#sendVersions(link);
+        // A watcher that has restarted may know less than its followers.
+        if (this.#isBehind(frame.configuration, frame.fleet) && this.#mayReact(link))
+          this.requestUpdates(link);
         break;
       }
       case FrameKind.Document:
@@ -232,7 +235,8 @@
     this.#platformReads += 1;
     this.#lastReadMs[document] = this.#options.timer.now();
     const afterVersion = store.versionOf(document);
-    const read = await platform.read({ document, afterVersion, waitMs });
+    const { inForce } = store;
+    const read = await platform.read({ document, afterVersion, inForce, waitMs });
     this.#isReadFailing[document] = read.isErr();
     if (read.isErr()) {
       log.write(Event.PlatformUnreachable, { document, detail: read.error.detail });
--- a/event_log/event.ts
+++ b/event_log/event.ts
@@ -20,6 +20,8 @@
   ConfigurationApplied = 'configuration-applied',
   ConfigurationRejected = 'configuration-rejected',
   PlatformUnreachable = 'platform-unreachable',
+  PlatformRestored = 'platform-restored',
+  PlatformOutdated = 'platform-outdated',
   EntryUnreadable = 'entry-unreadable',
   TargetColdStart = 'target-cold-start',
   TargetCrashed = 'target-crashed',
