--- a/daemon/connect_platform.ts
+++ b/daemon/connect_platform.ts
@@ -3,7 +3,7 @@
 import { DefaultDialect, type HttpDialect } from '../link/mod.ts';
 import { PlatformDialect, StoreClient, StoreSource } from '../platform/mod.ts';
 import { PlatformKind, type Settings } from '../settings/mod.ts';
-import type { TimerService } from '../timer/mod.ts';
+import { wallNow, type TimerService } from '../timer/mod.ts';
 
 /** A document source that holds connections until it is closed. */
 export interface ClosableSource extends DocumentSource {
@@ -35,6 +35,7 @@
           client: new StoreClient(url),
           log,
           timer,
+          wallNow,
           ports: { callers: callers.port, peers: peers.port },
           deployment: { regions, retryPercent },
         }),
--- a/link/dialer.ts
+++ b/link/dialer.ts
@@ -25,18 +25,37 @@
 /** A {@linkcode Dialer} over WebSocket. */
 export class WsDialer implements Dialer {
   dial(address: string): Promise<Result<FrameChannel, DialError>> {
-    const socket = new WebSocket(`ws://${address}`, {
+    const socket = openSocket(address);
+    if (socket.isErr()) return Promise.resolve(err(socket.error));
+    return waitUntilOpen(socket.value, address);
+  }
+}
+
+/** Opens a socket; the library throws if no URL can be made of the address. */
+function openSocket(address: string): Result<WebSocket, DialError> {
+  try {
+    const options = {
       handshakeTimeout: DIAL_TIMEOUT_MS,
       perMessageDeflate: false,
       maxPayload: MAX_MESSAGE_BYTES,
+    };
+    return ok(new WebSocket(`ws://${address}`, options));
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : 'invalid address';
+    return err({ detail: `${address}: ${detail}` });
+  }
+}
+
+function waitUntilOpen(
+  socket: WebSocket,
+  address: string,
+): Promise<Result<FrameChannel, DialError>> {
+  return new Promise((resolve) => {
+    socket.once('open', () => {
+      resolve(ok(new WsChannel(socket)));
     });
-    return new Promise((resolve) => {
-      socket.once('open', () => {
-        resolve(ok(new WsChannel(socket)));
-      });
-      socket.once('error', (error) => {
-        resolve(err({ detail: `${address}: ${error.message}` }));
-      });
+    socket.once('error', (error) => {
+      resolve(err({ detail: `${address}: ${error.message}` }));
     });
-  }
+  });
 }
