A timer of many years does not fire at once

Found while looking for the cause of odd registrations elsewhere: a number that is well formed, and that a later user of it cannot bear. The engine's timers fire after a millisecond if their delay exceeds 2^31 - 1 ms; a route's timeout of 25 days or more without a caller's deadline would have ended each call at once.

Change: the timer service limits a delay to what the engine bears.

--- a/timer/real_timer.ts
+++ b/timer/real_timer.ts
@@ -5,6 +5,9 @@
   return Date.now();
 }
 
+/** Longest delay of the engine's timers, in milliseconds; they fire at once after a longer one. */
+const MAX_DELAY_MS = 2_147_483_647;
+
 /** A {@linkcode TimerService} that uses the monotonic clock of the process. */
 export class RealTimer implements TimerService {
   now(): number {
@@ -12,7 +15,7 @@
   }
 
   after(delayMs: number, listener: () => void): Subscription {
-    const handle = setTimeout(listener, Math.max(0, delayMs));
+    const handle = setTimeout(listener, Math.min(Math.max(0, delayMs), MAX_DELAY_MS));
     return {
       cancel: () => {
         clearTimeout(handle);
