A load or cold time that is out of range is no report

A slowdown of 1e999 made a guard refuse each call as too slow, and a cold time of 1e300 s kept it cold for ever.

Change: figures of a load are at most a million, a cold time at most an hour and not negative; others count as absent.

--- a/tap-snapshots/dist/platform/platform_dialect_test.js.test.cjs
+++ b/tap-snapshots/dist/platform/platform_dialect_test.js.test.cjs
@@ -49,6 +49,34 @@
     },
     "targetId": "i-02",
   },
+  "cold for ever": Object {
+    "callId": undefined,
+    "coldMs": 0,
+    "isAuthentic": false,
+    "load": undefined,
+    "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
+    "targetId": "i-1",
+  },
+  "cold for less than nothing": Object {
+    "callId": undefined,
+    "coldMs": 0,
+    "isAuthentic": false,
+    "load": undefined,
+    "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
+    "targetId": "i-1",
+  },
   "cold in milliseconds": Object {
     "callId": undefined,
     "coldMs": 1500,
@@ -105,6 +133,34 @@
     },
     "targetId": "i-1",
   },
+  "load beyond all numbers": Object {
+    "callId": "9c41",
+    "coldMs": 0,
+    "isAuthentic": true,
+    "load": undefined,
+    "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
+    "targetId": undefined,
+  },
+  "load of large numbers": Object {
+    "callId": "9c41",
+    "coldMs": 0,
+    "isAuthentic": true,
+    "load": undefined,
+    "shed": false,
+    "statement": Object {
+      "isLeaving": false,
+      "rate": Object {
+        "kind": "none",
+      },
+    },
+    "targetId": undefined,
+  },
   "load of non-numbers": Object {
     "callId": "9c41",
     "coldMs": 0,
