Soak: the store comes back from a copy

Every six seconds of the fault phase the store goes back to a copy of up to five seconds before, after being away for up to 1.5 s, with its revisions given out again. What was lost is written again after 1.5 s, and registrations that nobody renews expire after 4.5 s. The restores have random numbers of their own, so that the other faults of a seed stay as they were.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -14,6 +14,10 @@
 const MAX_NAMED_RATE = 4;
 /** Shortest time for which a target names a rate, in milliseconds; longer than daemons may take to learn it. */
 const MIN_RATE_MS = 7_000;
+/** Largest age of the copy from which the store comes back, in milliseconds. */
+const MAX_COPY_AGE_MS = 5_000;
+/** Longest time for which the store is away before that, in milliseconds. */
+const MAX_AWAY_MS = 1_500;
 /** Lame-duck periods that a settings reload chooses from, in milliseconds. */
 const LAME_DUCK_CHOICES_MS = [2_000, 2_500] as const;
 
@@ -134,6 +138,15 @@
   }
 }
 
+/** Makes the store come back from a copy that is some seconds old. */
+export class StoreRestore implements SoakFault {
+  readonly name = 'store-restore';
+
+  async inject(cluster: SoakCluster, random: RandomSource): Promise<void> {
+    await cluster.restoreStore(random.below(MAX_COPY_AGE_MS), random.below(MAX_AWAY_MS));
+  }
+}
+
 /** Makes the store drop its history. */
 export class HistoryLoss implements SoakFault {
   readonly name = 'history-loss';
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -15,6 +15,7 @@
   ProcessPause,
   SettingsReload,
   StoreOutage,
+  StoreRestore,
   TargetDrain,
   TargetRate,
   TargetRestart,
@@ -29,6 +30,8 @@
 const WARM_UP_MS = 6_000;
 /** Time from one target that names a rate to the next, in milliseconds. */
 const RATE_INTERVAL_MS = 3_000;
+/** Time from one restore of the store to the next, in milliseconds. */
+const RESTORE_INTERVAL_MS = 6_000;
 /** Time between two faults, in milliseconds. */
 const FAULT_INTERVAL_MS = { min: 100, max: 1_500 };
 /** Time after the last fault by which service must have recovered, in milliseconds: below the sites' `recovery`. */
@@ -87,9 +90,18 @@
     }),
   );
   const clientRuns = clients.map((client) => client.run(stopClients.signal));
-  const rates = nameRates(cluster, new SeededRandom(seed), faultPhaseMs);
+  const rates = injectEvery(new TargetRate(), cluster, {
+    random: new SeededRandom(seed),
+    intervalMs: RATE_INTERVAL_MS,
+    faultPhaseMs,
+  });
+  const restores = injectEvery(new StoreRestore(), cluster, {
+    random: new SeededRandom(seed),
+    intervalMs: RESTORE_INTERVAL_MS,
+    faultPhaseMs,
+  });
   const faults = await injectFaults(cluster, { ...options, random, faultPhaseMs });
-  await rates;
+  await Promise.all([rates, restores]);
   await sleep(timer, RECOVERY_MS);
   stopClients.abort();
   await Promise.all(clientRuns);
@@ -142,23 +154,30 @@
   return injected.length;
 }
 
+/** Options of {@linkcode injectEvery}. */
+interface InjectEveryOptions {
+  random: SeededRandom;
+  /** Time between two injections, in milliseconds. */
+  intervalMs: number;
+  faultPhaseMs: number;
+}
+
 /**
- * Makes targets name rates during the fault phase. It has its own random numbers, so that the
- * sequence of the other faults for a seed stays the same.
+ * Injects one fault again and again during the fault phase. It has its own random numbers, so that
+ * the sequence of the other faults for a seed stays the same.
  */
-async function nameRates(
+async function injectEvery(
+  fault: SoakFault,
   cluster: SoakCluster,
-  random: SeededRandom,
-  faultPhaseMs: number,
+  { random, intervalMs, faultPhaseMs }: InjectEveryOptions,
 ): Promise<void> {
-  const targetRate = new TargetRate();
   const startMs = cluster.timer.now();
-  const named: Promise<void>[] = [];
+  const injected: Promise<void>[] = [];
   while (cluster.timer.now() - startMs < faultPhaseMs) {
-    named.push(targetRate.inject(cluster, random));
-    await sleep(cluster.timer, RATE_INTERVAL_MS);
+    injected.push(fault.inject(cluster, random));
+    await sleep(cluster.timer, intervalMs);
   }
-  await Promise.all(named);
+  await Promise.all(injected);
 }
 
 /** Checks after the recovery that every machine answers calls, on a route that was just added. */
--- a/soak/soak_cluster.ts
+++ b/soak/soak_cluster.ts
@@ -34,6 +34,11 @@
 const TARGET_DRAIN_MS = 4_000;
 /** Time from the crash of a target to its next start, in milliseconds. */
 const TARGET_RESTART_DELAY_MS = 500;
+/** Time after a restore of the store by which what was lost is written again, in milliseconds. */
+const REWRITE_MS = 1_500;
+/** Time after which a registration that nobody renews expires, in milliseconds. */
+const EXPIRY_MS = 4_500;
+const ENTRY_PREFIX = makeEntryKey('');
 const PORT_COUNT = 5;
 
 /** Routes in every version of the configuration. */
@@ -144,6 +149,30 @@
     this.#store.mode = StoreMode.Up;
   }
 
+  /**
+   * Makes the store come back from a copy. Operators and targets write again what was lost, and
+   * registrations that nobody renews expire.
+   *
+   * @param ageMs Age of the copy, in milliseconds.
+   * @param awayMs Time for which the store is away, in milliseconds.
+   */
+  async restoreStore(ageMs: number, awayMs: number): Promise<void> {
+    const copy = this.#store.copy();
+    await sleep(this.timer, ageMs);
+    const settlesAtMs = this.timer.now() + awayMs + EXPIRY_MS;
+    for (const machine of this.machines) machine.recordFault(settlesAtMs);
+    this.#store.mode = StoreMode.Resetting;
+    await sleep(this.timer, awayMs);
+    this.#store.restore(copy);
+    this.#store.mode = StoreMode.Up;
+    await sleep(this.timer, REWRITE_MS);
+    this.#writeAgain();
+    await sleep(this.timer, EXPIRY_MS - REWRITE_MS);
+    const currentKeys = this.machines.map(({ target }) => makeEntryKey(target.targetId));
+    for (const key of this.#store.keys(ENTRY_PREFIX))
+      if (!currentKeys.includes(key)) this.#store.remove(key);
+  }
+
   /** Makes the store drop its history. */
   dropHistory(): void {
     this.#store.dropHistory();
@@ -216,6 +245,23 @@
 
   #publishConfiguration(): void {
     this.#version += 1;
+    this.#putConfiguration();
+  }
+
+  #writeAgain(): void {
+    this.#putConfiguration();
+    for (const failureDomain of this.failureDomains) {
+      const key = makeEvacuationKey(failureDomain);
+      if (this.#evacuatedAtMs.has(failureDomain)) this.#store.put(key, {});
+      else this.#store.remove(key);
+    }
+    for (const machine of this.machines) {
+      if (!this.#restartingTargets.has(machine))
+        this.#putRegistration(machine, machine.target.isLeaving);
+    }
+  }
+
+  #putConfiguration(): void {
     this.#store.put(CONFIGURATION_KEY, makeConfigurationValue(this.#version, POOLS, this.#routes));
   }
 
--- a/stand_in/store_stand_in.ts
+++ b/stand_in/store_stand_in.ts
@@ -103,6 +103,14 @@
     this.#historyStart = this.#revision;
   }
 
+  /**
+   * @param prefix Prefix of keys.
+   * @returns The keys of the items under the prefix.
+   */
+  keys(prefix: string): string[] {
+    return [...this.#items.keys()].filter((key) => key.startsWith(prefix));
+  }
+
   /** @returns A copy of the content. */
   copy(): StoreCopy {
     return { items: new Map(this.#items), history: [...this.#history], revision: this.#revision };
