A guard cancels the body that it reads for a call as it did before

Change: a body that is recorded while it is read, which passes the end of the reading on. contract/fingerprint_test.ts uses it, with a further row for a body above the limit of the copy.

--- a/contract/body.ts
+++ b/contract/body.ts
@@ -192,17 +192,6 @@
     return this.#hasExceededLimit;
   }
 
-  /** @returns The whole body, if it was read to its end and all of it is kept. */
-  get completeBytes(): Uint8Array | undefined {
-    if (!this.#hasEnded || this.#hasExceededLimit) return undefined;
-    const parts: Uint8Array[] = [];
-    for (const chunk of this.#chunks) {
-      if (chunk.isErr()) return undefined;
-      parts.push(chunk.value);
-    }
-    return Buffer.concat(parts);
-  }
-
   async *[Symbol.asyncIterator](): AsyncIterator<BodyChunk> {
     this.#readers += 1;
     const reader = this.#readers;
@@ -258,6 +247,53 @@
   }
 }
 
+/** A body in transit of which a copy is kept while it is read, if it is small. */
+export class RecordedBody implements Body {
+  readonly #source: Body;
+  readonly #limitBytes: number;
+  #parts: Uint8Array[] = [];
+  #size = 0;
+  #isComplete = false;
+
+  /**
+   * @param source The body.
+   * @param limitBytes Largest size of the copy, in bytes.
+   */
+  constructor(source: Body, limitBytes: number) {
+    this.#source = source;
+    this.#limitBytes = limitBytes;
+  }
+
+  /** @returns The whole body, if it was read to its end and is small. */
+  get completeBytes(): Uint8Array | undefined {
+    const isKept = this.#isComplete && this.#size <= this.#limitBytes;
+    return isKept ? Buffer.concat(this.#parts) : undefined;
+  }
+
+  [Symbol.asyncIterator](): AsyncIterator<BodyChunk> {
+    const inner = this.#source[Symbol.asyncIterator]();
+    return {
+      next: async () => {
+        const item = await inner.next();
+        if (item.done) this.#isComplete = true;
+        else if (item.value.isOk()) this.#record(item.value.value);
+        else this.#size = Infinity;
+        return item;
+      },
+      return: async () => {
+        await inner.return?.();
+        return { done: true, value: undefined };
+      },
+    };
+  }
+
+  #record(bytes: Uint8Array): void {
+    this.#size += bytes.length;
+    if (this.#size <= this.#limitBytes) this.#parts.push(bytes);
+    else this.#parts = [];
+  }
+}
+
 /** Options of {@linkcode limitBody}. */
 export interface LimitBodyOptions {
   /** Called once if the body exceeds the limit. */
--- a/contract/fingerprint.ts
+++ b/contract/fingerprint.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import { BufferedBody, ReplayableBody } from './body.ts';
+import { BufferedBody, RecordedBody } from './body.ts';
 import type { Call } from './call.ts';
 
 /** Length of a fingerprint; it stands for 128 bits of the digest. */
@@ -31,5 +31,5 @@
 
 function getCompleteBytes(body: Call['body']): Uint8Array | undefined {
   if (body instanceof BufferedBody) return body.bytes;
-  return body instanceof ReplayableBody ? body.completeBytes : undefined;
+  return body instanceof RecordedBody ? body.completeBytes : undefined;
 }
--- a/contract/fingerprint_test.ts
+++ b/contract/fingerprint_test.ts
@@ -4,7 +4,7 @@
 import { VirtualTimer } from '../timer/mod.ts';
 import {
   BufferedBody,
-  ReplayableBody,
+  RecordedBody,
   bufferIfSmall,
   collectBody,
   computeFingerprint,
@@ -19,16 +19,23 @@
   yield ok(Buffer.from(TEXT.slice(7)));
 }
 
+async function readRecorded(limitBytes: number): Promise<Body> {
+  const body = new RecordedBody(sendInChunks(), limitBytes);
+  await collectBody(body, TEXT.length);
+  return body;
+}
+
 void t.test('computeFingerprint() is the same however a call is sent, and only then', async (t) => {
   const call = makeExampleCall(new VirtualTimer());
   const buffered = new BufferedBody(Buffer.from(TEXT));
-  const inTransit = new ReplayableBody(sendInChunks());
+  const inTransit = new RecordedBody(sendInChunks(), TEXT.length);
   const before = computeFingerprint({ ...call, body: inTransit });
   await collectBody(inTransit, TEXT.length);
   const bodies: Record<string, Body> = {
     'sent in chunks': inTransit,
     'sent in chunks, buffered': await bufferIfSmall(sendInChunks(), TEXT.length),
     'sent in chunks, above the limit': await bufferIfSmall(sendInChunks(), 3),
+    'sent in chunks, above the limit of the copy': await readRecorded(TEXT.length - 1),
     'another body': new BufferedBody(Buffer.from('round=3')),
   };
   const fingerprint = computeFingerprint({ ...call, body: buffered });
--- a/tap-snapshots/dist/contract/fingerprint_test.js.test.cjs
+++ b/tap-snapshots/dist/contract/fingerprint_test.js.test.cjs
@@ -11,6 +11,7 @@
   "sent in chunks: the same",
   "sent in chunks, buffered: the same",
   "sent in chunks, above the limit: none",
+  "sent in chunks, above the limit of the copy: none",
   "another body: another",
   "another pathAndQuery: another",
   "another callerPool: another",
