--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -122,7 +122,7 @@
   #lastSentMs: number;
   #isOpen = true;
   /** Called with the next received frame. */
-  #onReceived: ((isReceived: boolean) => void) | undefined;
+  #onReceived: (() => void) | undefined;
 
   /** @param options See {@linkcode PeerLinkOptions}. */
   constructor(options: PeerLinkOptions) {
@@ -175,7 +175,7 @@
       }
       this.#lastReceivedMs = this.#services.timer.now();
       this.#stallDetector.recordReceived();
-      this.#onReceived?.(true);
+      this.#onReceived?.();
       this.#handleFrame(received.value);
     }
     this.terminate();
@@ -220,12 +220,12 @@
     const pingedAtMs = timer.now();
     if (pingedAtMs - this.#lastReceivedMs < maxSilenceMs) return this.#isOpen;
     this.sendFrame({ kind: FrameKind.Ping });
-    const answered = new Promise<boolean>((resolve) => {
+    const answered = new Promise<void>((resolve) => {
       this.#onReceived = resolve;
     });
-    const isAnswered = (await withTimeout(timer, maxSilenceMs, answered)) ?? false;
+    await withTimeout(timer, maxSilenceMs, answered);
     this.#onReceived = undefined;
-    if (!isAnswered) this.#terminateStalled();
+    if (this.#lastReceivedMs < pingedAtMs) this.#terminateStalled();
     return this.#isOpen;
   }
 
