--- a/configuration/document_source.ts
+++ b/configuration/document_source.ts
@@ -25,7 +25,7 @@
   document: DocumentKind;
   /** Version that the reader has; only a newer one is returned. */
   afterVersion: number;
-  /** Documents that the reader has, from the platform or from peers. */
+  /** Documents that the reader has, from the platform or from peers; kept current while a read waits. */
   inForce: DocumentsInForce;
   /** Longest wait for a newer version, in milliseconds; zero to return at once. */
   waitMs: number;
--- a/configuration/document_store.ts
+++ b/configuration/document_store.ts
@@ -88,7 +88,7 @@
     return isNewer ? this.#rejected : undefined;
   }
 
-  /** @returns The documents in force. */
+  /** @returns The documents in force; the same object for all times. */
   get inForce(): DocumentsInForce {
     return this.#inForce;
   }
