--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -95,10 +95,8 @@
 export class Entry {
   readonly #options: EntryOptions;
   #openCalls = 0;
-  #end: (result: Result<Answer, Refusal>) => void = () => undefined;
-  readonly #ended = new Promise<Result<Answer, Refusal>>((resolve) => {
-    this.#end = resolve;
-  });
+  /** Each ends one of the calls that are being executed. */
+  readonly #endCall = new Set<(result: Result<Answer, Refusal>) => void>();
 
   /** @param options See {@linkcode EntryOptions}. */
   constructor(options: EntryOptions) {
@@ -127,7 +125,7 @@
     }
     const result = admitted.isErr()
       ? err<Answer, Refusal>(markUnknownIfKeyed(admitted.error, req.key))
-      : await Promise.race([this.#execute(admitted.value, req), this.#ended]);
+      : await this.#executeUntilEnd(admitted.value, req);
     this.#openCalls -= 1;
     if (admitted.isErr()) this.#logNotAdmitted(callId, admitted.error);
     this.#logCompletion(callId, result, startMs);
@@ -138,7 +136,8 @@
   /** Ends the open calls with a refusal, since the daemon stops. Their outcome is unknown. */
   endOpenCalls(): void {
     const detail = 'the daemon stopped before the answer';
-    this.#end(err(makeUnknownRefusal(RefusalReason.AnswerLost, detail)));
+    const refusal = makeUnknownRefusal(RefusalReason.AnswerLost, detail);
+    for (const end of this.#endCall) end(err(refusal));
   }
 
   /**
@@ -204,6 +203,15 @@
     );
   }
 
+  #executeUntilEnd(call: Call, req: CallerRequest): Promise<Result<Answer, Refusal>> {
+    return new Promise((resolve, reject) => {
+      this.#endCall.add(resolve);
+      void this.#execute(call, req)
+        .then(resolve, reject)
+        .finally(() => this.#endCall.delete(resolve));
+    });
+  }
+
   async #execute(call: Call, req: CallerRequest): Promise<Result<Answer, Refusal>> {
     if (call.route.repeatability === Repeatability.NonIdempotent) return this.#executeKeyed(call);
     const isSmall = req.contentLength !== undefined && req.contentLength <= SMALL_BODY_BYTES;
