Give the recorded body and the buffering of small ones files of their own

Two names of the quarantine change as well, where one word meant two things: crashCoincidences and suspectCount. Moves and names only; tests of contract, guard, distribution and daemon/promises_test hold.

--- a/contract/body.ts
+++ b/contract/body.ts
@@ -31,9 +31,8 @@
   }
 }
 
-const EMPTY_BYTES = new Uint8Array();
 /** A body without content. */
-export const EMPTY_BODY = new BufferedBody(EMPTY_BYTES);
+export const EMPTY_BODY = new BufferedBody(new Uint8Array());
 
 /**
  * Reads a body into memory.
@@ -61,45 +60,6 @@
   return ok(new BufferedBody(parts.length === 1 && only ? only : Buffer.concat(parts)));
 }
 
-/**
- * Reads a body into memory if it is small.
- *
- * @param body The body to read.
- * @param limitBytes Largest size to buffer, in bytes.
- * @returns The buffered body; if it is larger or truncated, a body with the same content, part of
- * which is in transit.
- */
-export async function bufferIfSmall(body: Body, limitBytes: number): Promise<Body> {
-  const chunks: BodyChunk[] = [];
-  let size = 0;
-  const source = body[Symbol.asyncIterator]();
-  for (;;) {
-    const item = await source.next();
-    if (item.done === true) {
-      return new BufferedBody(Buffer.concat(chunks.map((chunk) => chunk.unwrapOr(EMPTY_BYTES))));
-    }
-    chunks.push(item.value);
-    size += item.value.unwrapOr(EMPTY_BYTES).length;
-    if (item.value.isErr() || size > limitBytes) return continueBody(chunks, source);
-  }
-}
-
-async function* continueBody(
-  chunks: readonly BodyChunk[],
-  source: AsyncIterator<BodyChunk>,
-): AsyncGenerator<BodyChunk> {
-  try {
-    yield* chunks;
-    for (;;) {
-      const item = await source.next();
-      if (item.done === true) return;
-      yield item.value;
-    }
-  } finally {
-    await source.return?.();
-  }
-}
-
 /** Ways in which the transfer of a body ends. */
 export enum BodyEnd {
   Complete = 'whole',
@@ -247,53 +207,6 @@
   }
 }
 
-/** A body in transit of which a copy is kept while it is read, if it is small. */
-export class RecordedBody implements Body {
-  readonly #source: Body;
-  readonly #limitBytes: number;
-  #parts: Uint8Array[] = [];
-  #size = 0;
-  #isComplete = false;
-
-  /**
-   * @param source The body.
-   * @param limitBytes Largest size of the copy, in bytes.
-   */
-  constructor(source: Body, limitBytes: number) {
-    this.#source = source;
-    this.#limitBytes = limitBytes;
-  }
-
-  /** @returns The whole body, if it was read to its end and is small. */
-  get completeBytes(): Uint8Array | undefined {
-    const isKept = this.#isComplete && this.#size <= this.#limitBytes;
-    return isKept ? Buffer.concat(this.#parts) : undefined;
-  }
-
-  [Symbol.asyncIterator](): AsyncIterator<BodyChunk> {
-    const inner = this.#source[Symbol.asyncIterator]();
-    return {
-      next: async () => {
-        const item = await inner.next();
-        if (item.done) this.#isComplete = true;
-        else if (item.value.isOk()) this.#record(item.value.value);
-        else this.#size = Infinity;
-        return item;
-      },
-      return: async () => {
-        await inner.return?.();
-        return { done: true, value: undefined };
-      },
-    };
-  }
-
-  #record(bytes: Uint8Array): void {
-    this.#size += bytes.length;
-    if (this.#size <= this.#limitBytes) this.#parts.push(bytes);
-    else this.#parts = [];
-  }
-}
-
 /** Options of {@linkcode limitBody}. */
 export interface LimitBodyOptions {
   /** Called once if the body exceeds the limit. */
--- a/contract/fingerprint.ts
+++ b/contract/fingerprint.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto';
-import { BufferedBody, RecordedBody } from './body.ts';
+import { BufferedBody } from './body.ts';
 import type { Call } from './call.ts';
+import { RecordedBody } from './recorded_body.ts';
 
 /** Length of a fingerprint; it stands for 128 bits of the digest. */
 const FINGERPRINT_LENGTH = 22;
--- a/contract/mod.ts
+++ b/contract/mod.ts
@@ -11,11 +11,13 @@
  * @module
  */
 export * from './body.ts';
+export * from './buffer_if_small.ts';
 export * from './call.ts';
 export * from './deadline.ts';
 export * from './fingerprint.ts';
 export * from './load_state.ts';
 export * from './outcome.ts';
+export * from './recorded_body.ts';
 export * from './refusal.ts';
 export * from './retry_budget.ts';
 export * from './route.ts';
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -192,7 +192,7 @@
       linkBytesSent: linkBytes.reduce((sum, { sent }) => sum + sent, 0),
       linkBytesReceived: linkBytes.reduce((sum, { received }) => sum + received, 0),
       keptBytes: this.owner.keptBytes,
-      suspectedCalls: this.#quarantine.suspects,
+      suspectedCalls: this.#quarantine.suspectCount,
       isWatcher: this.distributor.isWatcher,
       platformReads: this.distributor.platformReads,
     };
--- a/distribution/crash_reports.ts
+++ b/distribution/crash_reports.ts
@@ -87,7 +87,7 @@
    * @param link A link that was just opened.
    */
   repeatTo(link: PeerLink): void {
-    for (const { fingerprint, crashId } of this.#options.quarantine.coincidences)
+    for (const { fingerprint, crashId } of this.#options.quarantine.crashCoincidences)
       link.sendFrame(makeFrame(fingerprint, crashId));
   }
 
--- a/guard/quarantine.ts
+++ b/guard/quarantine.ts
@@ -74,7 +74,7 @@
   }
 
   /** @returns Number of suspected fingerprints. */
-  get suspects(): number {
+  get suspectCount(): number {
     return this.#suspects.size;
   }
 
@@ -84,7 +84,7 @@
   }
 
   /** @returns The newest coincidences of suspected fingerprints, for a peer that may not know them. */
-  get coincidences(): CrashCoincidence[] {
+  get crashCoincidences(): CrashCoincidence[] {
     const all = [...this.#suspects].flatMap(([fingerprint, { crashesAtMs }]) =>
       [...crashesAtMs.keys()].map((crashId) => ({ fingerprint, crashId })),
     );
