A connection that ends while the reader of its answer is paused ends no process

In a daemon such an error ends the process.

Cause: if a large answer's reader pauses just when the library has read all that has come, a connection that then ends, is reset or is closed reaches a parser that is paused, which the library takes for impossible.

Change: the end of a connection is held back until its reader resumes; a reset or a close while it is paused fails the call that is being read.

--- a/link/metered_client.ts
+++ b/link/metered_client.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import { Client, Pool, buildConnector, errors, util, type Dispatcher } from 'undici';
+import { PausedConnection } from './paused_connection.ts';
 
 /** Largest header section of an answer, in bytes; the library's default. */
 const MAX_HEADER_BYTES = 16_384;
@@ -100,6 +101,7 @@
 /** Compares the bytes that a connection reads with the content delivered to its call. */
 class ReadMeter {
   #socket: Socket | undefined;
+  #connection: PausedConnection | undefined;
   #isListening = false;
   #isBusy = false;
   #bytesReadBefore = 0;
@@ -109,8 +111,13 @@
     return this.#socket;
   }
 
+  get connection(): PausedConnection | undefined {
+    return this.#connection;
+  }
+
   attach(socket: Socket): void {
     this.#socket = socket;
+    this.#connection = new PausedConnection(socket);
     this.#isListening = false;
   }
 
@@ -211,7 +218,20 @@
       return false;
     }
     const decodable = headers.map(toDecodable);
-    return this.#inner.onHeaders?.(status, decodable, resume, text) ?? true;
+    const { connection } = this.#meter;
+    const resumeConnection = () => {
+      if (connection) connection.resume(resume);
+      else resume();
+    };
+    return this.#pauseUnless(
+      this.#inner.onHeaders?.(status, decodable, resumeConnection, text) ?? true,
+    );
+  }
+
+  /** Records that the reader pauses unless it wants more, and returns whether it does. */
+  #pauseUnless(isMoreWanted: boolean): boolean {
+    if (!isMoreWanted) this.#meter.connection?.pause();
+    return isMoreWanted;
   }
 
   #findProblem(status: number, headers: Buffer[]): string | undefined {
@@ -221,7 +241,7 @@
 
   onData(chunk: Buffer): boolean {
     this.#meter.recordContent(chunk.length);
-    return this.#inner.onData?.(chunk) ?? true;
+    return this.#pauseUnless(this.#inner.onData?.(chunk) ?? true);
   }
 
   onComplete(trailers: string[] | null): void {
