--- a/review/common/kept_connection.ts
+++ b/review/common/kept_connection.ts
@@ -14,7 +14,7 @@
   path: string;
   body: Buffer;
   deadlineMs: number;
-  /** Sends the body in pieces of this many bytes, if set. */
+  /** Sends the body in chunks of this many bytes, if set; otherwise with its length. */
   pieceBytes?: number;
   /** Time between two pieces. */
   pieceIntervalMs?: number;
@@ -63,7 +63,7 @@
     this.#received = Buffer.alloc(0);
     this.#socket.write(
       `POST ${req.path} HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: ${req.id}\r\n` +
-        `Request-Deadline: ${req.deadlineMs}\r\nContent-Length: ${req.body.length}\r\n\r\n`,
+        `Request-Deadline: ${req.deadlineMs}\r\n${formatFraming(req)}\r\n\r\n`,
     );
     await this.#sendBody(req);
     let answer = this.#readAnswer();
@@ -87,11 +87,18 @@
   }
 
   async #sendBody({ body, pieceBytes, pieceIntervalMs = 0 }: KeptRequest): Promise<void> {
-    const size = pieceBytes ?? Math.max(1, body.length);
-    for (let start = 0; start < body.length && !this.#isClosed; start += size) {
-      this.#socket.write(body.subarray(start, start + size));
-      if (pieceBytes !== undefined) await sleep(pieceIntervalMs);
+    if (pieceBytes === undefined) {
+      this.#socket.write(body);
+      return;
     }
+    for (let start = 0; start < body.length && !this.#isClosed; start += pieceBytes) {
+      const piece = body.subarray(start, start + pieceBytes);
+      this.#socket.write(`${piece.length.toString(16)}\r\n`);
+      this.#socket.write(piece);
+      this.#socket.write('\r\n');
+      await sleep(pieceIntervalMs);
+    }
+    this.#socket.write('0\r\n\r\n');
   }
 
   #readAnswer(): Omit<KeptAnswer, 'elapsedMs'> | undefined {
@@ -103,3 +110,8 @@
     return { status: Number(head.slice(9, 12)), isLast: /^connection: close/im.test(head) };
   }
 }
+
+/** Formats the header that says how the body is sent. */
+function formatFraming({ body, pieceBytes }: KeptRequest): string {
+  return pieceBytes === undefined ? `Content-Length: ${body.length}` : 'Transfer-Encoding: chunked';
+}
