--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -8,7 +8,7 @@
 import type { RequestListener } from 'node:http';
 import { makeSoundBackend } from '../common/backend.js';
 import { send } from '../common/client.js';
-import { Deployment, SLOTS, type RouteSpec } from '../common/deployment.js';
+import { COLD_START_MS, Deployment, SLOTS, type RouteSpec } from '../common/deployment.js';
 import { sleep } from '../common/machine.js';
 import { runCase, type Verdict } from '../common/run_case.js';
 
@@ -42,9 +42,10 @@
 
 await runCase('review/1', async (isDisrupted): Promise<Verdict> => {
   const runs: { id: string; service: string; path: string }[] = [];
-  const makeBackend = (id: string, service: string): RequestListener =>
+  const makeBackend = (id: string, service: string, coldUntilMs?: number): RequestListener =>
     makeSoundBackend({
       id,
+      ...(coldUntilMs !== undefined && { coldUntilMs }),
       getWorkMs: () => WORK_MS,
       onRun: ({ path, requestId }) => {
         runs.push({ id: requestId, service, path });
@@ -59,8 +60,11 @@
   const traffic = startTraffic(deployment);
   try {
     await sleep(BEFORE_MS);
-    if (isDisrupted) await replaceBackend(deployment, makeBackend(NEW_ID, 'boards'));
-    else await sleep(END_AT_MS);
+    if (isDisrupted) {
+      await replaceBackend(deployment, (bornMs) =>
+        makeBackend(NEW_ID, 'boards', bornMs + COLD_START_MS),
+      );
+    } else await sleep(END_AT_MS);
     await traffic.stop();
     const wrong = runs.filter(({ path, service }) => path === '/puka/2f' && service !== 'results');
     const right = runs.filter(({ path, service }) => path === '/puka/2f' && service === 'results');
@@ -108,7 +112,10 @@
 }
 
 /** Ends the backend of the first machine, and has another service use its address while the store is down. */
-async function replaceBackend(deployment: Deployment, backend: RequestListener): Promise<void> {
+async function replaceBackend(
+  deployment: Deployment,
+  makeNewBackend: (bornMs: number) => RequestListener,
+): Promise<void> {
   const [machine] = deployment.machines;
   const { store } = deployment;
   if (!machine) return;
@@ -127,7 +134,7 @@
   deployment.note('the store is down');
   await until(REUSED_AT_MS);
   const bornMs = Date.now();
-  await machine.startBackend(backend);
+  await machine.startBackend(makeNewBackend(bornMs));
   deployment.note(`backend ${NEW_ID} of boards has the address now`);
   await until(REMOVED_AT_MS);
   store.remove('servers/i-1');
--- a/review/common/backend.ts
+++ b/review/common/backend.ts
@@ -1,4 +1,4 @@
-/* eslint-disable no-restricted-globals, no-restricted-syntax */
+/* eslint-disable no-restricted-globals, no-restricted-properties, no-restricted-syntax */
 /**
  * A sound backend, which runs each request for a while and answers it.
  *
@@ -19,6 +19,8 @@
 /** Options of {@linkcode makeSoundBackend}. */
 export interface SoundBackendOptions {
   id: string;
+  /** Time until which it is cold, in Unix milliseconds, if it has started during traffic. */
+  coldUntilMs?: number;
   /** @returns Time for which the request runs, in milliseconds. */
   getWorkMs: (arrival: Arrival) => number;
   /** Called when a request begins to run. */
@@ -37,7 +39,8 @@
   const { id } = options;
   const state = { running: 0 };
   return (req, res) => {
-    if (answerHealth(req, res, { id, running: state.running })) return;
+    const coldMs = Math.max(0, (options.coldUntilMs ?? 0) - Date.now());
+    if (answerHealth(req, res, { id, running: state.running, coldMs })) return;
     const parts: Buffer[] = [];
     req.on('data', (part: Buffer) => parts.push(part));
     req.on('error', () => undefined);
@@ -67,16 +70,17 @@
  *
  * @param req The request.
  * @param res Its answer.
- * @param backend Id of the backend, and number of requests that it runs.
+ * @param backend Id of the backend, number of requests that it runs, and time for which it stays cold.
  * @returns Whether it was a health check.
  */
 export function answerHealth(
   req: IncomingMessage,
   res: ServerResponse,
-  { id, running }: { id: string; running: number },
+  { id, running, coldMs = 0 }: { id: string; running: number; coldMs?: number },
 ): boolean {
   if (req.url !== '/health') return false;
-  res.writeHead(200, { 'Instance-Id': id, 'Instance-Load': formatLoad(running) }).end();
+  const cold = coldMs > 0 ? { 'Cold-Remaining': `${coldMs}ms` } : {};
+  res.writeHead(200, { 'Instance-Id': id, 'Instance-Load': formatLoad(running), ...cold }).end();
   return true;
 }
 
--- a/review/common/deployment.ts
+++ b/review/common/deployment.ts
@@ -13,6 +13,8 @@
 
 /** Host of all routes. */
 export const HOST = 'hulo84.example';
+/** Time for which a backend is cold after a start during traffic, in milliseconds. */
+export const COLD_START_MS = 3_000;
 /** Slots of each backend. */
 export const SLOTS = 6;
 
@@ -104,9 +106,9 @@
    *
    * @param machine Its machine.
    * @param run Its id and time of birth.
-   * @param state Its state.
+   * @param coldMs Time for which it stays cold, in milliseconds.
    */
-  register(machine: Machine, { id, born }: Run, state: 'ready' | 'draining' = 'ready'): void {
+  register(machine: Machine, { id, born }: Run, coldMs = 0): void {
     const { service, zone, ports } = machine.options;
     this.store.put(`servers/${id}`, {
       service,
@@ -114,8 +116,8 @@
       zone,
       version: 'v1',
       slots: SLOTS,
-      state,
-      cold_remaining: '0ms',
+      state: 'ready',
+      cold_remaining: `${coldMs}ms`,
       sequence: 1,
       born,
     });
