A guard sends calls only to processes known to be its target's

Cause: a guard took any process that answers at its target's address for a restart of its target. The probe (or the very 421 that rejects a call) taught it the newcomer's ID, it counted as up again, and the next call named that ID. The platform gives an address to another service once `reuse_after` has passed since its target ended. Evidence, from the log of the daemon: `target-cold-start sign=refused target=i-1`, 2.2 s later `sign=run target=i-9`, then calls run at i-9. Ruled out: a list that is stale at the entry (the guard's own view decides), kept connections (all were reset), calls without an ID (each named i-9). The instance list had the ID of the own target all the time; nothing read it at the guard.

Change: TargetIdentity decides. A process is the target's if the instance list says so for the own pool, or if it answers before the address can have been reused since the target was last known to run (bound `reuse_after`, which comes with the settings; without it, only the list counts). Calls name no other process and wait for none: they are refused as not run. What another process says (rate, leaving, cold time, load) is not taken for the target's, nor is the late answer of a process that has been replaced, and such a process is probed at the ordinary period. A suspension of the machine counts as silence. Related: a guard whose address is listed for another pool now refuses (it took that listing for its own), and a daemon that has just started knows the ID from the list instead of sending without one. `target-unidentified` is logged once for each process.

--- a/daemon/cluster_view.ts
+++ b/daemon/cluster_view.ts
@@ -10,7 +10,7 @@
 } from '../contract/mod.ts';
 import type { ClusterSnapshot } from '../entry/mod.ts';
 import { Topology } from '../failure_domain/mod.ts';
-import { Fleet, InstanceStage } from '../instance/mod.ts';
+import { Fleet, InstanceStage, type Instance } from '../instance/mod.ts';
 import {
   DocumentKind,
   DocumentStore,
@@ -61,7 +61,7 @@
       },
       onFleet: (fleet) => {
         this.#fleet = fleet;
-        this.#wasListed ||= fleet.find(options.instance.id) !== undefined;
+        this.#wasListed ||= this.listing !== undefined;
         options.onChange();
       },
     });
@@ -77,6 +77,13 @@
     return this.#fleet;
   }
 
+  /** @returns This instance as listed; absent if another pool's target has its address. */
+  get listing(): Instance | undefined {
+    const { id, pool } = this.#options.instance;
+    const listed = this.#fleet.find(id);
+    return listed?.pool === pool ? listed : undefined;
+  }
+
   /** @returns Version of the configuration in force; zero if there is none. */
   get version(): number {
     return this.store.versionOf(DocumentKind.Configuration);
@@ -183,8 +190,7 @@
   }
 
   #checkListing(): Refusal | undefined {
-    const { id } = this.#options.instance;
-    const listed = this.#fleet.find(id);
+    const { listing: listed } = this;
     if (listed?.stage === InstanceStage.Leaving) {
       return makeNotRunRefusal(
         RefusalReason.Leaving,
--- a/daemon/connect_platform.ts
+++ b/daemon/connect_platform.ts
@@ -11,23 +11,40 @@
   close(): Promise<void>;
 }
 
+/** The configured platform, as the daemon uses it. */
+export interface PlatformConnection {
+  /** Dialect of the platform's callers and targets. */
+  dialect: HttpDialect;
+  /** Source of its documents. */
+  source: ClosableSource;
+  /**
+   * Shortest time from the end of a target until another one may get its address, in milliseconds;
+   * infinite if addresses are not reused.
+   */
+  addressReuseMs: number;
+}
+
 /**
  * Makes the document source and the HTTP dialect of the configured platform.
  *
  * @param settings Settings of the daemon.
  * @param log Receives an event for each store item that cannot be read.
  * @param timer The clock.
- * @returns The dialect of the platform's callers and targets, and the source of its documents.
+ * @returns See {@linkcode PlatformConnection}.
  */
 export function connectPlatform(
   { platform, callers, peers }: Settings,
   log: EventLog,
   timer: TimerService,
-): { dialect: HttpDialect; source: ClosableSource } {
-  const { url, kind, regions, retryPercent } = platform;
+): PlatformConnection {
+  const { url, kind, regions, retryPercent, bounds } = platform;
   switch (kind) {
     case PlatformKind.Documents:
-      return { dialect: new DefaultDialect(), source: new HttpSource(url) };
+      return {
+        dialect: new DefaultDialect(),
+        source: new HttpSource(url),
+        addressReuseMs: bounds.addressReuseMs ?? Infinity,
+      };
     case PlatformKind.Store:
       return {
         dialect: new PlatformDialect(),
@@ -39,6 +56,7 @@
           ports: { callers: callers.port, peers: peers.port },
           deployment: { regions, retryPercent },
         }),
+        addressReuseMs: bounds.addressReuseMs ?? 0,
       };
   }
 }
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -45,6 +45,11 @@
   dialer: Dialer;
   platform: DocumentSource;
   target: TargetPort;
+  /**
+   * Shortest time from the end of a target until another one may get its address, in milliseconds;
+   * by default, addresses are not reused.
+   */
+  addressReuseMs?: number;
   /** @returns The wall clock time, in milliseconds, which advances while the machine is suspended. */
   wallNow?: () => number;
   /** Incarnation of this daemon; a new one by default. */
@@ -63,6 +68,7 @@
   readonly recentEvents: MemoryLog;
   #settings: Settings;
   readonly #timer: TimerService;
+  readonly #addressReuseMs: number;
   readonly #log: EventLog;
   readonly #view: ClusterView;
   readonly #targetViews: TargetViews;
@@ -82,6 +88,7 @@
     const { instance, decisions } = settings;
     this.#settings = settings;
     this.#timer = timer;
+    this.#addressReuseMs = options.addressReuseMs ?? Infinity;
     this.incarnation = options.incarnation ?? newIncarnation();
     this.recentEvents = new MemoryLog(decisions.journalLength);
     this.#log = new TeeLog([options.log, this.recentEvents]);
@@ -103,7 +110,9 @@
         void this.#crashReports.reportAnswer(fingerprint);
       },
       probePeriodMs: settings.target.probePeriodMs,
-      getSlots: () => this.#view.fleet.find(instance.id)?.slots,
+      addressReuseMs: this.#addressReuseMs,
+      getListedId: () => this.#view.listing?.targetId,
+      getSlots: () => this.#view.listing?.slots,
       getPool: () => this.#view.configuration?.findPool(instance.pool),
       getVersion: () => this.#view.version,
       checkAdmission: (attempt, phase) => {
@@ -164,6 +173,7 @@
       void this.#resumeAfterPause(gapMs);
     });
     this.#pauseDetector.onSuspension((gapMs) => {
+      this.guard.recordSuspension();
       void this.#resumeAfterSuspension(gapMs);
     });
     this.#pruneTimer = timer.every(PRUNE_PERIOD_MS, () => {
@@ -216,7 +226,14 @@
     this.#view.stage = InstanceStage.Live;
     const { version } = this.#view;
     const { incarnation } = this;
-    this.#log.write(Event.DaemonStarted, { instance: id, failureDomain, incarnation, version });
+    const addressReuseMs = this.#addressReuseMs;
+    this.#log.write(Event.DaemonStarted, {
+      instance: id,
+      failureDomain,
+      incarnation,
+      version,
+      addressReuseMs,
+    });
     await this.#versionSync.learnFromPeers();
     if (!this.#isStopped()) this.distributor.start();
   }
@@ -298,7 +315,7 @@
         this.guard.resetWarmUp();
       },
       onChange: () => {
-        this.guard.updateSlots();
+        this.guard.applyListing();
       },
     });
   }
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -71,7 +71,7 @@
     log,
   }: DaemonProcessOptions): Promise<Result<DaemonProcess, ListenError[]>> {
     const timer = new RealTimer();
-    const { dialect, source: platform } = connectPlatform(settings, log, timer);
+    const { dialect, source: platform, addressReuseMs } = connectPlatform(settings, log, timer);
     const target = new TargetClient(settings.target.url, { ...settings.target, dialect });
     const metrics = loadMetrics(settings, timer);
     const dialer = new WsDialer();
@@ -84,6 +84,7 @@
       dialer,
       platform,
       target,
+      addressReuseMs,
     });
     const view = makeOperatorView(daemon, metrics);
     const { metricsListener } = settings;
--- a/event_log/event.ts
+++ b/event_log/event.ts
@@ -24,6 +24,7 @@
   PlatformOutdated = 'platform-outdated',
   EntryUnreadable = 'entry-unreadable',
   TargetColdStart = 'target-cold-start',
+  TargetUnidentified = 'target-unidentified',
   TargetCrashed = 'target-crashed',
   TargetWarm = 'target-warm',
   TargetNotice = 'target-notice',
--- a/fakes/in_process_cluster.ts
+++ b/fakes/in_process_cluster.ts
@@ -51,8 +51,10 @@
   delayMs?: (fromDomain: string, toDomain: string) => number;
   /** Settings of each daemon that differ from the defaults. */
   settings?: Partial<
-    Pick<Settings, 'decisions' | 'keys' | 'quarantine' | 'drainTimeoutMs' | 'lameDuckMs'>
+    Pick<Settings, 'target' | 'decisions' | 'keys' | 'quarantine' | 'drainTimeoutMs' | 'lameDuckMs'>
   >;
+  /** Shortest time until the address of a target may be reused, in milliseconds; never by default. */
+  addressReuseMs?: number;
   /** Returns the execution time of the next call at a target, in milliseconds. */
   serviceMs?: (target: string) => number;
   /** Creates the target of an instance; a {@linkcode FakeTarget} by default. */
@@ -296,6 +298,7 @@
       dialer: makeStoppableDialer(this.network.makeDialer(instance.peerAddress), ended.signal),
       platform: new WithholdingSource(this.platform, () => this.#getReadPolicy(instance.id)),
       target: makeStoppableTarget(targetPort, ended.signal, clock),
+      addressReuseMs: this.#options.addressReuseMs ?? Infinity,
       incarnation: `run-${this.#incarnations}`,
     });
     this.network.listen(instance.peerAddress, (channel) => void daemon.accept(channel));
--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -38,6 +38,7 @@
 import { RateLimit } from './rate_limit.ts';
 import { ServiceTimeAverage } from './service_time_average.ts';
 import { TargetHealth } from './target_health.ts';
+import { TargetIdentity, isOfTarget } from './target_identity.ts';
 import { SlowdownTracker } from './slowdown_tracker.ts';
 import {
   TargetFailureKind,
@@ -98,6 +99,13 @@
    * target that gets no calls is probed.
    */
   probePeriodMs: number | undefined;
+  /**
+   * Shortest time from the end of a target until another one may get its address, in milliseconds;
+   * infinite if addresses are not reused.
+   */
+  addressReuseMs: number;
+  /** @returns ID of the target's process according to the instance list, if it is listed with one. */
+  getListedId: () => string | undefined;
   /** @returns Calls that the target may run concurrently, if the instance list states it. */
   getSlots: () => number | undefined;
   /** @returns Configuration in force of the target's pool, if there is one. */
@@ -125,6 +133,7 @@
   readonly #queue: AdmissionQueue;
   readonly #ledger: AttemptLedger;
   readonly #serviceTime = new ServiceTimeAverage();
+  readonly #identity: TargetIdentity;
   readonly #health: TargetHealth;
   readonly #warmUp: WarmUp;
   #limit: ConcurrencyLimit;
@@ -147,13 +156,19 @@
       coldMs: options.getPool()?.coldMs ?? 0,
       coldPerSecond: options.getPool()?.coldPerSecond,
     }));
-    this.#health = new TargetHealth(options.log, this.#warmUp, () => {
-      this.#notices.recordRestart();
+    this.#identity = new TargetIdentity(options);
+    this.#health = new TargetHealth({
+      log: options.log,
+      warmUp: this.#warmUp,
+      identity: this.#identity,
+      onNewProcess: () => {
+        this.#notices.recordRestart();
+      },
     });
     this.#notices = new NoticeTracker({
       timer: options.timer,
       log: options.log,
-      getTargetId: () => this.#health.targetId,
+      getTargetId: () => this.#identity.targetId,
       onChange: () => {
         this.#applyNotice();
       },
@@ -164,7 +179,7 @@
       log: options.log,
       port: options.port,
       getPath: () => options.getPool()?.healthPath,
-      getTargetId: () => this.#health.targetId,
+      getTargetId: () => this.#identity.targetId,
       onCrash: options.onCrash,
     });
     this.#slowdownTracker = new SlowdownTracker(options.timer);
@@ -179,7 +194,7 @@
       periodMs: options.probePeriodMs,
       getPath: () => options.getPool()?.healthPath,
       isBlocked: () => this.#isBlocked,
-      isUrgent: () => this.#health.getStage(this.#limit.current) !== TargetStage.Warm,
+      isUrgent: () => this.#isProbeUrgent,
       onCheck: () => {
         this.#queue.admitQueued();
       },
@@ -246,8 +261,9 @@
     this.#notices.recordPeerNotice(notice);
   }
 
-  /** Replaces the concurrency limit if the number of slots has changed. */
-  updateSlots(): void {
+  /** Applies an instance list: identifies the target's process, and adopts its number of slots. */
+  applyListing(): void {
+    this.#health.applyListing();
     const slots = this.#readSlots();
     if (slots === this.#slots) return;
     this.#slots = slots;
@@ -260,6 +276,11 @@
     this.#prober.close();
   }
 
+  /** Records that the machine may have been suspended, while the clock stood still. */
+  recordSuspension(): void {
+    this.#identity.recordSuspension();
+  }
+
   /** Treats the target as cold, for example after its failure domain is put back into service. */
   resetWarmUp(): void {
     this.#warmUp.restart();
@@ -282,8 +303,8 @@
     const quarantined = checkQuarantine(this.#options.quarantine, call);
     if (quarantined) return quarantined;
     if (this.#notices.notice?.isLeaving === true) return makeTargetLeavingRefusal();
-    if (this.#health.isDown)
-      return makeNotRunRefusal(RefusalReason.TargetDown, 'the target is not listening');
+    const { problem } = this.#health;
+    if (problem !== undefined) return makeNotRunRefusal(RefusalReason.TargetDown, problem);
     return this.#options.checkAdmission(attempt, phase);
   }
 
@@ -338,6 +359,12 @@
     this.#queue.release();
   }
 
+  /** Another target's process is not probed more often than its own guard probes it. */
+  get #isProbeUrgent(): boolean {
+    const isOther = this.#identity.unidentifiedId !== undefined;
+    return !isOther && this.#health.getStage(this.#limit.current) !== TargetStage.Warm;
+  }
+
   get #isBlocked(): boolean {
     const { notice } = this.#notices;
     return this.#health.isDown || notice?.isLeaving === true || notice?.maxCallsPerSecond === 0;
@@ -397,7 +424,7 @@
   #runTarget(call: Call, signal: AbortSignal): Promise<Result<TargetAnswer, TargetFailure>> {
     const { id: callId, callerPool, method, pathAndQuery, headers, body } = call;
     const { leftMs } = call.deadline;
-    const { targetId } = this.#health;
+    const { targetId } = this.#identity;
     return this.#options.port.run({
       callId,
       callerPool,
@@ -437,8 +464,9 @@
     }
     const succeeded = result.value.status < SERVER_ERROR_STATUS;
     const { targetId, shed, reported, statement } = result.value;
+    const sign = this.#health.recordAnswer(targetId, sentAtMs);
+    if (!isOfTarget(sign)) return;
     this.#slowdownTracker.recordReport(reported);
-    this.#health.recordAnswer(targetId);
     const source = shed ? NoticeSource.Shed : NoticeSource.Answer;
     this.#notices.record({ statement, sentAtMs, source });
     if (shed) return;
--- a/guard/mod.ts
+++ b/guard/mod.ts
@@ -22,6 +22,7 @@
 export * from './rate_limit.ts';
 export * from './service_time_average.ts';
 export * from './target_health.ts';
+export * from './target_identity.ts';
 export * from './slowdown_tracker.ts';
 export * from './target_port.ts';
 export * from './target_prober.ts';
--- a/guard/target_health.ts
+++ b/guard/target_health.ts
@@ -1,42 +1,47 @@
 import { TargetStage } from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
+import { ProcessSign, isOfTarget, type TargetIdentity } from './target_identity.ts';
 import type { ProbeReport } from './target_port.ts';
 import type { WarmUp } from './warm_up.ts';
 
 /** Consecutive probes without an answer after which a target counts as down. */
 const UNANSWERED_PROBES_LIMIT = 2;
 
+/** Options of {@linkcode TargetHealth}. */
+export interface TargetHealthOptions {
+  /** Receives an event for each cold start, and for each process that may be another target's. */
+  log: EventLog;
+  /** Restarted at each cold start. */
+  warmUp: WarmUp;
+  identity: TargetIdentity;
+  /** Called once the process that sent the earlier answers is known to have ended. */
+  onNewProcess: () => void;
+}
+
 /**
  * Detects from connections, answers and probes that the target is down or has
  * restarted: a refused or lost connection, unanswered probes or a new target ID.
  */
 export class TargetHealth {
-  readonly #log: EventLog;
-  readonly #warmUp: WarmUp;
-  readonly #onNewProcess: () => void;
-  #isDown = false;
+  readonly #options: TargetHealthOptions;
+  #isNotListening = false;
   #unansweredProbes = 0;
-  #targetId: string | undefined;
 
-  /**
-   * @param log Receives an event for each cold start.
-   * @param warmUp Restarted at each cold start.
-   * @param onNewProcess Called once the process that sent the earlier answers is known to have ended.
-   */
-  constructor(log: EventLog, warmUp: WarmUp, onNewProcess: () => void) {
-    this.#log = log;
-    this.#warmUp = warmUp;
-    this.#onNewProcess = onNewProcess;
+  /** @param options See {@linkcode TargetHealthOptions}. */
+  constructor(options: TargetHealthOptions) {
+    this.#options = options;
   }
 
-  /** @returns Whether the target was not listening when last contacted. */
+  /** @returns Whether the target was not listening when last contacted, or may have another process. */
   get isDown(): boolean {
-    return this.#isDown;
+    return this.#isNotListening || !this.#options.identity.isIdentified;
   }
 
-  /** @returns ID of the target's current process, if the target has reported it. */
-  get targetId(): string | undefined {
-    return this.#targetId;
+  /** @returns Why the target gets no calls, for a refusal, if it is down. */
+  get problem(): string | undefined {
+    if (this.#isNotListening) return 'the target is not listening';
+    if (this.#options.identity.isIdentified) return undefined;
+    return "the process at the target's address is not known to be the target's";
   }
 
   /**
@@ -44,32 +49,45 @@
    * @returns The target's stage.
    */
   getStage(warmLimit: number): TargetStage {
-    if (this.#isDown) return TargetStage.Down;
-    return this.#warmUp.isCold(warmLimit) ? TargetStage.Cold : TargetStage.Warm;
+    if (this.isDown) return TargetStage.Down;
+    return this.#options.warmUp.isCold(warmLimit) ? TargetStage.Cold : TargetStage.Warm;
   }
 
   /**
-   * Records an answer. A changed target ID shows that the target has restarted.
+   * Records an answer. A changed target ID shows that the target has restarted, or that another
+   * target has its address.
    *
-   * @param targetId ID of the target's process, if the answer contains it.
+   * @param targetId ID of the process that answered, if the answer contains it.
+   * @param sentAtMs When the call or probe that it answers was sent, in milliseconds.
+   * @returns What the answer shows of the process; an answer without ID shows nothing new.
    */
-  recordAnswer(targetId: string | undefined): void {
-    this.#isDown = false;
-    this.#unansweredProbes = 0;
-    if (targetId === undefined || targetId === this.#targetId) return;
-    const isRestart = this.#targetId !== undefined;
-    this.#targetId = targetId;
-    if (!isRestart) return;
-    this.#recordRestart('run');
-    this.#onNewProcess();
+  recordAnswer(targetId: string | undefined, sentAtMs: number): ProcessSign {
+    const { identity } = this.#options;
+    const before = identity.unidentifiedId;
+    const sign =
+      targetId === undefined ? ProcessSign.Same : identity.recordAnswer(targetId, sentAtMs);
+    switch (sign) {
+      case ProcessSign.Same:
+        this.#recordListening();
+        break;
+      case ProcessSign.Restarted:
+        this.#recordListening();
+        this.#recordNewProcess('run');
+        break;
+      case ProcessSign.Unidentified:
+        if (targetId !== before) this.#recordUnidentified();
+        break;
+      case ProcessSign.Ended:
+        break;
+    }
+    return sign;
   }
 
   /** Records that the target refused a connection. */
   recordConnectionRefused(): void {
-    if (this.#isDown) return;
-    this.#isDown = true;
-    this.#recordRestart('refused');
-    this.#onNewProcess();
+    if (this.#isNotListening) return;
+    this.#isNotListening = true;
+    this.#recordNewProcess('refused');
   }
 
   /** Records that a connection was lost before an answer was complete. */
@@ -81,19 +99,51 @@
    * Records the result of a probe.
    *
    * @param report The target's report; `undefined` if the probe got no answer.
+   * @param sentAtMs When the probe was sent, in milliseconds.
+   * @returns What the report shows of the process, if there is one.
    */
-  recordProbe(report: ProbeReport | undefined): void {
+  recordProbe(report: ProbeReport | undefined, sentAtMs: number): ProcessSign | undefined {
     if (!report) {
       this.#unansweredProbes += 1;
       if (this.#unansweredProbes >= UNANSWERED_PROBES_LIMIT) this.recordConnectionRefused();
-      return;
+      return undefined;
     }
-    this.recordAnswer(report.targetId);
-    if (report.coldMs !== undefined) this.#warmUp.setColdRemaining(report.coldMs);
+    const sign = this.recordAnswer(report.targetId, sentAtMs);
+    if (isOfTarget(sign) && report.coldMs !== undefined)
+      this.#options.warmUp.setColdRemaining(report.coldMs);
+    return sign;
+  }
+
+  /** Applies an instance list, which may say that the process that answered last is the target's. */
+  applyListing(): void {
+    if (!this.#options.identity.applyListing()) return;
+    this.#recordListening();
+    this.#recordNewProcess('listed');
+  }
+
+  #recordListening(): void {
+    this.#isNotListening = false;
+    this.#unansweredProbes = 0;
+  }
+
+  #recordUnidentified(): void {
+    const { log, identity, onNewProcess } = this.#options;
+    log.write(Event.TargetUnidentified, {
+      process: identity.unidentifiedId,
+      target: identity.targetId,
+      silenceMs: Math.round(identity.silenceMs),
+    });
+    onNewProcess();
+  }
+
+  #recordNewProcess(sign: string): void {
+    this.#recordRestart(sign);
+    this.#options.onNewProcess();
   }
 
   #recordRestart(sign: string): void {
-    this.#warmUp.restart();
-    this.#log.write(Event.TargetColdStart, { sign, target: this.#targetId });
+    const { log, warmUp, identity } = this.#options;
+    warmUp.restart();
+    log.write(Event.TargetColdStart, { sign, target: identity.targetId });
   }
 }
--- a/guard/target_prober.ts
+++ b/guard/target_prober.ts
@@ -1,6 +1,7 @@
 import { withTimeout, type Subscription, type TimerService } from '../timer/mod.ts';
 import { NoticeSource, type NoticeTracker } from './notice_tracker.ts';
 import type { TargetHealth } from './target_health.ts';
+import { isOfTarget } from './target_identity.ts';
 import type { SlowdownTracker } from './slowdown_tracker.ts';
 import type { TargetPort } from './target_port.ts';
 
@@ -88,11 +89,12 @@
     const sentAtMs = timer.now();
     this.#probedAtMs = sentAtMs;
     const report = await port.probe(getPath());
-    slowdown.recordReport(report?.load);
-    if (report || periodMs !== undefined || isBlocked()) health.recordProbe(report);
-    if (report) {
+    const isCounted = report !== undefined || periodMs !== undefined || isBlocked();
+    const sign = isCounted ? health.recordProbe(report, sentAtMs) : undefined;
+    if (report && sign !== undefined && isOfTarget(sign)) {
       const { statement, isHealthy } = report;
       notices.record({ statement, sentAtMs, source: NoticeSource.Probe, isHealthy });
+      slowdown.recordReport(report.load);
     }
     onCheck();
   }
--- a/guard/unbounded_answer_test.ts
+++ b/guard/unbounded_answer_test.ts
@@ -107,6 +107,8 @@
     limitKind: LimitKind.Fixed,
     quarantine: new Quarantine(timer, log),
     probePeriodMs: undefined,
+    addressReuseMs: Infinity,
+    getListedId: () => undefined,
     getSlots: () => 1,
     getPool: () => undefined,
     getVersion: () => 1,
--- a/settings/settings.ts
+++ b/settings/settings.ts
@@ -4,7 +4,7 @@
 import { ForeignEntryPolicy } from '../entry/mod.ts';
 import { PickerKind } from '../placement/mod.ts';
 import { LimitKind } from '../guard/mod.ts';
-import { durationSchema } from '../platform/mod.ts';
+import { boundsSchema, durationSchema } from '../platform/mod.ts';
 
 const port = z.int().min(0).max(65_535);
 /** Address to listen on: an object with host and port, or the text `host:port`. */
@@ -54,6 +54,8 @@
     regions: z.record(z.string(), z.string()).default({}),
     /** Retries per hundred calls, if the platform does not publish the number. */
     retryPercent: z.number().min(0).max(100).default(10),
+    /** What the platform guarantees, under the platform's own names. */
+    bounds: boundsSchema.prefault({}),
   }),
   /** StatsD server to which metrics are sent; none are sent if absent. */
   metrics: z.strictObject({ host: z.string(), port }).optional(),
