A daemon that is stopped before its first configuration does not begin to serve

Cause: start() sets the stage to live after its wait, also if drain() has set it to leaving meanwhile. Three tasks wrote one field. Ruled out: the readiness check itself, which reports the stage as it is.

Change: the stage lives in Lifecycle, whose transitions only go forward; a pause interrupts a live daemon and is no stage. A daemon that never served has no lame-duck period, refuses calls as not run and stops at once.

--- a/daemon/cluster_view.ts
+++ b/daemon/cluster_view.ts
@@ -20,6 +20,7 @@
 import type { Settings } from '../settings/mod.ts';
 import { AdmissionPhase } from '../guard/mod.ts';
 import type { TimerService } from '../timer/mod.ts';
+import { Lifecycle } from './lifecycle.ts';
 
 const NO_ROUTES = new RouteTable([], []);
 const NO_TOPOLOGY = new Topology([]);
@@ -41,10 +42,7 @@
   readonly store: DocumentStore;
   /** Versions of the configuration that are applied here or known from peers. */
   readonly versionTracker: VersionTracker;
-  /** Lifecycle stage of this daemon. */
-  stage = InstanceStage.Starting;
-  /** Whether a leaving daemon still accepts calls, so that callers can switch to another entry. */
-  isLameDuck = false;
+  readonly lifecycle = new Lifecycle();
   readonly #options: ClusterViewOptions;
   #configuration: Configuration | undefined;
   #fleet = new Fleet(0, []);
@@ -96,7 +94,7 @@
 
   /** @returns Whether this daemon is leaving. */
   get isLeaving(): boolean {
-    return this.stage === InstanceStage.Leaving;
+    return this.lifecycle.stage === InstanceStage.Leaving;
   }
 
   /** @returns Region of this instance, if the configuration lists its failure domain. */
@@ -131,7 +129,7 @@
    * @returns A refusal if it does not.
    */
   checkCall(): Refusal | undefined {
-    if (this.stage === InstanceStage.Live || this.isLameDuck) return undefined;
+    if (this.lifecycle.acceptsCalls) return undefined;
     if (this.isLeaving) return makeNotRunRefusal(RefusalReason.Leaving, 'the daemon is leaving');
     return makeNotRunRefusal(
       RefusalReason.NotReady,
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -191,7 +191,7 @@
       pool: instance.pool,
       failureDomain: instance.failureDomain,
       incarnation: this.incarnation,
-      stage: this.#view.stage,
+      stage: this.stage,
       configurationVersion: this.#view.version,
       fleetVersion: this.#view.fleet.version,
       rejected: this.#view.store.rejected,
@@ -215,15 +215,14 @@
 
   /** @returns Lifecycle stage of the daemon. */
   get stage(): InstanceStage {
-    return this.#view.stage;
+    return this.#view.lifecycle.stage;
   }
 
   /** Fetches the newest versions and starts to serve; resolves once it follows changes or is stopped. */
   async start(): Promise<void> {
     const { id, failureDomain } = this.#settings.instance;
     await this.#versionSync.syncUntilComplete();
-    if (this.#isStopped()) return;
-    this.#view.stage = InstanceStage.Live;
+    if (this.#isStopped() || !this.#view.lifecycle.startServing()) return;
     const { version } = this.#view;
     const { incarnation } = this;
     const addressReuseMs = this.#addressReuseMs;
@@ -279,10 +278,9 @@
    * @returns The result of the handover.
    */
   async drain(): Promise<HandoverResult> {
-    if (!this.#view.isLeaving) this.#startLeaving();
     const endMs = this.#timer.now() + this.#settings.drainTimeoutMs - EXIT_MARGIN_MS;
     this.#endsAtMs = endMs - ANSWER_MARGIN_MS;
-    await this.#serveAsLameDuck();
+    if (this.#startLeaving()) await this.#serveAsLameDuck();
     await this.#waitUntilIdle(endMs);
     const result = await this.#handOver();
     this.#log.write(Event.KeysHandedOver, { ...result });
@@ -412,12 +410,12 @@
   /** Terminates the links and fetches the versions again, as both may be outdated after a pause. */
   async #resumeAfterPause(gapMs: number): Promise<void> {
     if (this.stage !== InstanceStage.Live) return;
-    this.#view.stage = InstanceStage.Starting;
+    this.#view.lifecycle.pause();
     this.#log.write(Event.DaemonPaused, { gapMs: Math.round(gapMs) });
     this.guard.refuseQueued(makeNotRunRefusal(RefusalReason.NotReady, 'the daemon was paused'));
     this.links.terminateAll();
     await this.#versionSync.syncOnce();
-    if (!this.#view.isLeaving) this.#view.stage = InstanceStage.Live;
+    this.#view.lifecycle.resume();
     this.#log.write(Event.DaemonResumed, { version: this.#view.version });
   }
 
@@ -434,19 +432,19 @@
     return this.entry.runOwnedCall(call);
   }
 
-  #startLeaving(): void {
-    this.#view.stage = InstanceStage.Leaving;
+  #startLeaving(): boolean {
+    const isLameDuck = this.#view.lifecycle.startLeaving();
     this.#log.write(Event.DaemonDraining, { instance: this.#settings.instance.id });
     for (const link of this.links.links) link.sendFrame({ kind: FrameKind.Leaving });
     this.owner.freeze();
+    return isLameDuck;
   }
 
+  /** Still accepts calls for a while, so that callers can switch to another entry. */
   async #serveAsLameDuck(): Promise<void> {
     const { lameDuckMs } = this.#settings;
-    if (lameDuckMs === 0) return;
-    this.#view.isLameDuck = true;
-    await sleep(this.#timer, lameDuckMs);
-    this.#view.isLameDuck = false;
+    if (lameDuckMs > 0) await sleep(this.#timer, lameDuckMs);
+    this.#view.lifecycle.endLameDuck();
   }
 
   async #waitUntilIdle(endMs: number): Promise<void> {
