A request is read to its end, or its connection closes

Cause: the HTTP server discards the rest of a body only if nobody has begun to read it. The entry stops reading when a call ends early, and the parser stays paused. Evidence: a raw client whose body is read in part, next request unanswered after 3 s; with a body of which nothing was read, answered. The socket of the server stands still with bytes unread. Ruled out: the answer itself (complete), the idle timeout.

Change: CallerBody belongs to the server. A reader that stops or lags is detached, and the rest is discarded, up to 16 MiB and 10 s; beyond that the connection is reset. A rest that is known to be larger makes the answer say that the connection closes, which then happens after the same limits, as an earlier close would reset the answer.

--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -91,6 +91,7 @@
     const listening = await Promise.all([
       CallerServer.listen({
         ...settings.callers,
+        timer,
         dialect,
         isLeaving: () => daemon.stage === InstanceStage.Leaving,
         getTimeouts: () => daemon.configuration?.callerTimeouts,
--- a/link/caller_server.ts
+++ b/link/caller_server.ts
@@ -1,17 +1,17 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { err, ok, type Result } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import {
   EMPTY_BODY,
   BufferedBody,
   cancelBody,
   type Answer,
   type Body,
-  type BodyChunk,
   type Headers as CallHeaders,
 } from '../contract/mod.ts';
 import type { CallerReply, CallerRequest } from '../entry/mod.ts';
 import { sleep, type TimerService } from '../timer/mod.ts';
+import { CallerBody, DISCARD_LIMIT_BYTES } from './caller_body.ts';
 import { removeHopByHopHeaders, pairHeaders } from './headers.ts';
 import type { HttpDialect } from './http_dialect.ts';
 import { listen, type ListenError } from './listen.ts';
@@ -38,6 +38,7 @@
   host: string;
   /** Port to listen on; zero for any. */
   port: number;
+  timer: TimerService;
   /** Serves one call. */
   serve: (req: CallerRequest) => Promise<CallerReply>;
   /** Translates the headers of callers; {@linkcode DefaultDialect} by default. */
@@ -116,24 +117,63 @@
 async function serveCall(
   incoming: IncomingMessage,
   outgoing: ServerResponse,
-  { serve, isLeaving, dialect }: CallerServerOptions & { dialect: HttpDialect },
+  { serve, isLeaving, dialect, timer }: CallerServerOptions & { dialect: HttpDialect },
 ): Promise<void> {
   const req = toCallerRequest(incoming, outgoing, dialect);
   const { callId, result, nextKey } = await serve(req);
-  if (isLeaving?.()) outgoing.shouldKeepAlive = false;
+  const { body } = req;
+  const isClosing = isLeaving?.() === true || isRestTooLarge(req);
+  if (isClosing) outgoing.shouldKeepAlive = false;
+  const discardRest = () =>
+    body instanceof CallerBody ? body.discard(timer) : Promise.resolve(true);
+  // A connection that is closed before the rest is read is reset, and its answer may be lost.
+  const beforeEnd = isClosing ? discardRest : undefined;
   if (result.isOk()) {
     const addedHeaders = dialect.toAnswerHeaders(callId, nextKey);
-    await sendAnswer(outgoing, result.value, { addedHeaders, signal: req.signal });
-    return;
+    await sendAnswer(outgoing, result.value, { addedHeaders, signal: req.signal, beforeEnd });
+  } else {
+    const addedHeaders = dialect.toRefusalHeaders(callId, { ...result.error, nextKey });
+    const problem = toProblem(result.error, callId, dialect);
+    await sendRefusal(outgoing, problem, { addedHeaders, beforeEnd });
   }
-  const { status, headers, body } = toProblem(result.error, callId, dialect);
-  const addedHeaders = dialect.toRefusalHeaders(callId, { ...result.error, nextKey });
-  outgoing.writeHead(status, {
-    ...addedHeaders,
-    ...headers,
-    'content-length': Buffer.byteLength(body),
-  });
-  outgoing.end(body);
+  if (isClosing) return;
+  // The connection carries the next request only after the rest of this one.
+  const { socket } = incoming;
+  if (!(await discardRest()) && !socket.destroyed) resetSocket(socket);
+}
+
+/** Whether the rest of a body is known to be too large to be discarded for the sake of its connection. */
+function isRestTooLarge({ body, contentLength = 0 }: CallerRequest): boolean {
+  return body instanceof CallerBody && contentLength - body.readBytes > DISCARD_LIMIT_BYTES;
+}
+
+/** How an answer is sent. */
+interface SendOptions {
+  addedHeaders: Readonly<Record<string, string>>;
+  /** Called when all bytes are written, before the answer ends and its connection closes. */
+  beforeEnd: (() => Promise<unknown>) | undefined;
+}
+
+async function sendRefusal(
+  outgoing: ServerResponse,
+  { status, headers, body }: ReturnType<typeof toProblem>,
+  { addedHeaders, beforeEnd }: SendOptions,
+): Promise<void> {
+  const bytes = Buffer.from(body);
+  outgoing.writeHead(status, { ...addedHeaders, ...headers, 'content-length': bytes.length });
+  await sendBytes(outgoing, bytes, beforeEnd);
+}
+
+async function sendBytes(
+  outgoing: ServerResponse,
+  bytes: Uint8Array,
+  beforeEnd: SendOptions['beforeEnd'],
+): Promise<void> {
+  if (beforeEnd) {
+    outgoing.write(bytes);
+    await beforeEnd();
+    outgoing.end();
+  } else outgoing.end(bytes);
 }
 
 function toCallerRequest(
@@ -157,7 +197,7 @@
     pathAndQuery: incoming.url ?? '/',
     headers: removeHopByHopHeaders(readHeaders(incoming, dialect)),
     contentLength: readContentLength(incoming),
-    body: hasBody(incoming) ? toBody(incoming) : EMPTY_BODY,
+    body: hasBody(incoming) ? new CallerBody(incoming) : EMPTY_BODY,
     signal: controller.signal,
     cancel: () => {
       controller.abort();
@@ -181,24 +221,10 @@
   return length === undefined ? undefined : Number(length);
 }
 
-/**
- * Converts a stream of bytes to a body.
- *
- * @param stream The stream.
- * @returns The same bytes as a body, truncated where the stream fails.
- */
-export async function* toBody(stream: AsyncIterable<Uint8Array>): AsyncGenerator<BodyChunk> {
-  try {
-    for await (const bytes of stream) yield ok(bytes);
-  } catch (error) {
-    yield err({ detail: error instanceof Error ? error.message : 'the stream broke' });
-  }
-}
-
 async function sendAnswer(
   outgoing: ServerResponse,
   { status, headers, body }: Answer,
-  { addedHeaders, signal }: { addedHeaders: Readonly<Record<string, string>>; signal: AbortSignal },
+  { addedHeaders, signal, beforeEnd }: SendOptions & { signal: AbortSignal },
 ): Promise<void> {
   const rawHeaders = [
     ...headers.filter(([name]) => !(name in addedHeaders)),
@@ -212,7 +238,8 @@
   if (body instanceof BufferedBody) {
     const isSized = headers.some(([name]) => name === 'content-length');
     if (!isSized) rawHeaders.push('content-length', String(body.bytes.length));
-    outgoing.writeHead(status, rawHeaders).end(body.bytes);
+    outgoing.writeHead(status, rawHeaders);
+    await sendBytes(outgoing, body.bytes, beforeEnd);
     return;
   }
   outgoing.writeHead(status, rawHeaders);
--- a/link/mod.ts
+++ b/link/mod.ts
@@ -13,6 +13,7 @@
  */
 export * from './async_queue.ts';
 export * from './call_frames.ts';
+export * from './caller_body.ts';
 export * from './caller_server.ts';
 export * from './dialer.ts';
 export * from './exchange.ts';
@@ -37,4 +38,5 @@
 export * from './stall_detector.ts';
 export * from './stream_body.ts';
 export * from './target_client.ts';
+export * from './to_body.ts';
 export * from './ws_channel.ts';
--- a/link/target_client.ts
+++ b/link/target_client.ts
@@ -11,7 +11,6 @@
   type TargetPort,
   type TargetRequest,
 } from '../guard/mod.ts';
-import { toBody } from './caller_server.ts';
 import { removeHopByHopHeaders } from './headers.ts';
 import type { HeaderReader, HttpDialect, TargetHeaderFields } from './http_dialect.ts';
 import {
@@ -21,6 +20,7 @@
   type CheckedRequestOptions,
 } from './metered_client.ts';
 import { DefaultDialect } from './default_dialect.ts';
+import { toBody } from './to_body.ts';
 
 /** Answers up to this size are buffered before they are forwarded, in bytes. */
 const SMALL_ANSWER_BYTES = 65_536;
--- a/tap-snapshots/dist/daemon/bad_input_test.js.test.cjs
+++ b/tap-snapshots/dist/daemon/bad_input_test.js.test.cjs
@@ -59,7 +59,7 @@
 `
 
 exports[`dist/daemon/bad_input_test.js > TAP > caller server handles bad input and keeps serving > a streamed body without a key 1`] = `
-broken connection
+428 not-run route "post-result" is not idempotent, got no Idempotency-Key
 `
 
 exports[`dist/daemon/bad_input_test.js > TAP > caller server handles bad input and keeps serving > a target that resets in the middle of its answer 1`] = `
