Soak: addresses of ended targets are given to targets of another pool

A call that runs at the other pool's process is a finding (`pool`). It has random numbers of its own, so that the other faults of a seed stay as they were. Daemons get the bound of reuse with their settings.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -166,6 +166,15 @@
   }
 }
 
+/** Gives the address of an ended target to one of another pool for a while. */
+export class AddressReuse implements SoakFault {
+  readonly name = 'address-reuse';
+
+  async inject(cluster: SoakCluster, random: RandomSource): Promise<void> {
+    await cluster.reuseAddress(pickOne(cluster.machines, random), random.below(MAX_FAULT_MS));
+  }
+}
+
 /** Drains a target and replaces it with another incarnation. */
 export class TargetDrain implements SoakFault {
   readonly name = 'target-drain';
--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -9,6 +9,8 @@
   HomeRegions = 'home-regions',
   ColdTargetRate = 'cold-rate',
   NamedTargetRate = 'named-rate',
+  /** A call runs at its own pool only; addresses of ended targets are reused. */
+  Pool = 'pool',
   Drain = 'drain',
   Evacuation = 'evacuation',
   PlannedStop = 'planned-stop',
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -6,6 +6,7 @@
 import type { PlatformRoute } from '../stand_in/mod.ts';
 import { RealTimer, sleep } from '../timer/mod.ts';
 import {
+  AddressReuse,
   ConfigurationChange,
   Evacuation,
   HistoryLoss,
@@ -32,6 +33,8 @@
 const RATE_INTERVAL_MS = 3_000;
 /** Time from one restore of the store to the next, in milliseconds. */
 const RESTORE_INTERVAL_MS = 6_000;
+/** Time from one reuse of an address to the next, in milliseconds. */
+const REUSE_INTERVAL_MS = 4_000;
 /** Time between two faults, in milliseconds. */
 const FAULT_INTERVAL_MS = { min: 100, max: 1_500 };
 /** Time after the last fault by which service must have recovered, in milliseconds: below the sites' `recovery`. */
@@ -100,8 +103,13 @@
     intervalMs: RESTORE_INTERVAL_MS,
     faultPhaseMs,
   });
+  const reuses = injectEvery(new AddressReuse(), cluster, {
+    random: new SeededRandom(seed),
+    intervalMs: REUSE_INTERVAL_MS,
+    faultPhaseMs,
+  });
   const faults = await injectFaults(cluster, { ...options, random, faultPhaseMs });
-  await Promise.all([rates, restores]);
+  await Promise.all([rates, restores, reuses]);
   await sleep(timer, RECOVERY_MS);
   stopClients.abort();
   await Promise.all(clientRuns);
--- a/soak/soak_cluster.ts
+++ b/soak/soak_cluster.ts
@@ -17,7 +17,7 @@
   type ObservedRun,
   type SoakFinding,
 } from './guarantees.ts';
-import { SoakMachine } from './soak_machine.ts';
+import { ADDRESS_REUSE_MS, SoakMachine } from './soak_machine.ts';
 
 /** Region of each failure domain. */
 const REGIONS: Readonly<Record<string, string>> = {
@@ -195,12 +195,37 @@
     this.#restartingTargets.delete(machine);
   }
 
+  /**
+   * Ends a target, has one of another pool use its address for a while, and starts the machine's
+   * own target again. The store still lists the ended one meanwhile.
+   *
+   * @param machine Machine of the target.
+   * @param heldMs Time for which the other target has the address, in milliseconds.
+   */
+  async reuseAddress(machine: SoakMachine, heldMs: number): Promise<void> {
+    if (this.#restartingTargets.has(machine)) return;
+    this.#restartingTargets.add(machine);
+    const { target } = machine;
+    machine.recordFault(this.timer.now() + 2 * ADDRESS_REUSE_MS + heldMs);
+    const key = makeEntryKey(target.targetId);
+    await target.crash();
+    await sleep(this.timer, ADDRESS_REUSE_MS);
+    await target.start(machine.makeForeignTargetId());
+    await sleep(this.timer, heldMs);
+    await target.crash();
+    await sleep(this.timer, TARGET_RESTART_DELAY_MS);
+    this.#store.remove(key);
+    await this.#startTarget(machine);
+    this.#restartingTargets.delete(machine);
+  }
+
   /**
    * Registers a target as leaving and restarts it after a while.
    *
    * @param machine Machine of the target.
    */
   async drainTarget(machine: SoakMachine): Promise<void> {
+    if (this.#restartingTargets.has(machine)) return;
     const { targetId } = machine.target;
     machine.target.isLeaving = true;
     this.#putRegistration(machine, true);
@@ -288,6 +313,8 @@
 
   #recordRun(run: ObservedRun, machine: SoakMachine): void {
     this.runs.push(run);
+    if (machine.isForeign(run.targetId))
+      this.findings.push(makeFinding(Guarantee.Pool, `call ${run.callId} ran at ${run.targetId}`));
     this.#machinesByCall.set(run.callId, [
       ...(this.#machinesByCall.get(run.callId) ?? []),
       machine,
--- a/soak/soak_machine.ts
+++ b/soak/soak_machine.ts
@@ -63,6 +63,10 @@
   Target = 4,
 }
 
+/** Shortest time from the end of a target until another one gets its address, in milliseconds. */
+export const ADDRESS_REUSE_MS = 2_000;
+const FOREIGN_PREFIX = 'foreign-';
+
 /** A machine: a target, the daemon process beside it, and a proxy on each network path. */
 export class SoakMachine {
   readonly pool: string;
@@ -129,6 +133,19 @@
     return `i-${this.#options.number}-${this.#targetStarts}`;
   }
 
+  /** Makes an ID for a target of another pool that gets the address. */
+  makeForeignTargetId(): string {
+    return `${FOREIGN_PREFIX}${this.makeTargetId()}`;
+  }
+
+  /**
+   * @param targetId ID of an incarnation that ran at the address.
+   * @returns Whether it was of another pool than the machine.
+   */
+  isForeign(targetId: string): boolean {
+    return targetId.startsWith(FOREIGN_PREFIX);
+  }
+
   /** Starts the proxies and the daemon. */
   async start(): Promise<void> {
     const { ports, store, timer } = this.#options;
@@ -173,7 +190,12 @@
       peers: listener(ports.peers),
       operators: listener(ports.operators),
       target: { url: `http://${outboundHost}:${ports.target}`, probePeriodMs: 1_000 },
-      platform: { kind: 'store', url: `http://${outboundHost}:${ports.store}`, regions },
+      platform: {
+        kind: 'store',
+        url: `http://${outboundHost}:${ports.store}`,
+        regions,
+        bounds: { reuse_after: `${ADDRESS_REUSE_MS}ms` },
+      },
       decisions: { foreignEntry: 'forward', seed: this.#options.number },
       lameDuckMs,
       drainTimeoutMs: DRAIN_TIMEOUT_MS,
