A daemon that starts does not give up what it has read for an older version of a peer

Cause: a document read while nothing is in force got the revision 1, so that peers' documents replace it after a restore of the store; so did those of peers that the store turns away. Ruled out: the order of arrival at the store's client (its copy held 12 all the while).

Change: trust and order are two fields. The first read keeps its revision and is unconfirmed: a peer's document of the same revision replaces it; an older one counts only from a peer in the period after a restore, and is reconciled with a fresh read instead of being applied. The confirming read follows at once.

--- a/configuration/document_source.ts
+++ b/configuration/document_source.ts
@@ -7,6 +7,11 @@
 export interface PublishedDocument {
   version: number;
   text: string;
+  /**
+   * Whether it was read while nothing was in force. If the platform was just restored from a copy,
+   * peers may have a newer content in force under an older version.
+   */
+  isUnconfirmed?: boolean;
 }
 
 /** Reason for which a read of the platform failed. */
@@ -25,6 +30,8 @@
   document: DocumentKind;
   /** Version that the reader has; only a newer one is returned. */
   afterVersion: number;
+  /** Whether that version is unconfirmed; see {@linkcode PublishedDocument.isUnconfirmed}. */
+  isUnconfirmed: boolean;
   /** Documents that the reader has, from the platform or from peers; kept current while a read waits. */
   inForce: DocumentsInForce;
   /** Longest wait for a newer version, in milliseconds; zero to return at once. */
--- a/configuration/document_store.ts
+++ b/configuration/document_store.ts
@@ -19,6 +19,8 @@
   baseDigest: string;
   /** JSON of the document, or of a JSON Patch. */
   text: string;
+  /** Whether it was read from the platform while nothing was in force. */
+  isUnconfirmed?: boolean;
 }
 
 /** Result of offering a document to a {@linkcode DocumentStore}. */
@@ -41,6 +43,7 @@
 
 interface StoredDocument {
   version: number;
+  isUnconfirmed: boolean;
   value: object | undefined;
   text: string;
   /** Patch from the previous version; empty if there is none. */
@@ -51,6 +54,7 @@
 
 const NO_DOCUMENT: StoredDocument = {
   version: 0,
+  isUnconfirmed: false,
   value: undefined,
   text: '',
   patch: '',
@@ -104,7 +108,18 @@
   }
 
   /**
-   * Validates a document and applies it if it is newer than the one in force.
+   * Returns whether the version in force was read while none was, and no other has confirmed it.
+   *
+   * @param kind Kind of the document.
+   * @returns Whether it is unconfirmed.
+   */
+  isUnconfirmed(kind: DocumentKind): boolean {
+    return this.#documents[kind].isUnconfirmed;
+  }
+
+  /**
+   * Validates a document and applies it if it is newer than the one in force, or of the same
+   * version while that is unconfirmed.
    *
    * @param offered A document from the platform or a peer.
    * @returns Whether the document was applied, or why it was not.
@@ -112,7 +127,7 @@
   offer(offered: OfferedDocument): OfferResult {
     const { document, version, base, baseDigest } = offered;
     const current = this.#documents[document];
-    if (version <= current.version) return OfferResult.Old;
+    if (!isSuperseding(offered, current)) return OfferResult.Old;
     // Two readers may get different contents under one version if the platform pages its answers,
     // so the version alone does not identify the base of a patch.
     const isBaseInForce = base === current.version && baseDigest === computeDigest(current.value);
@@ -121,7 +136,7 @@
       base === 0 ? ok<unknown, Finding[]>(undefined) : applyPatch(current.value, offered.text);
     if (value.isErr()) return OfferResult.WrongBase;
     const text = base === 0 ? offered.text : JSON.stringify(value.value);
-    const applied = this.#apply(document, version, text);
+    const applied = this.#apply({ ...offered, text });
     if (applied.isOk()) return OfferResult.Applied;
     const findings = applied.error.map(formatFinding);
     if (document === DocumentKind.Configuration) this.#rejected = { version, findings };
@@ -149,11 +164,12 @@
     };
   }
 
-  #apply(kind: DocumentKind, version: number, text: string): Result<void, Finding[]> {
+  #apply(offered: OfferedDocument): Result<void, Finding[]> {
+    const { document: kind, version, text } = offered;
     const source = new JsoncDocument(kind, text);
     if (kind === DocumentKind.Fleet) {
       return checkDocument(source, fleetSchema).map(({ value }) => {
-        this.#store(kind, version, value);
+        this.#store(offered, value);
         this.#inForce[DocumentKind.Fleet] = value;
         this.#listener.onFleet(toFleet({ ...value, version }));
       });
@@ -161,14 +177,14 @@
     return Configuration.parse(source).andThen((configuration) => {
       if (configuration.version !== version)
         return err([makeVersionFinding(source, configuration, version)]);
-      this.#store(kind, version, configuration.document);
+      this.#store(offered, configuration.document);
       this.#inForce[DocumentKind.Configuration] = configuration.document;
       this.#listener.onConfiguration(configuration);
       return ok(undefined);
     });
   }
 
-  #store(kind: DocumentKind, version: number, value: object): void {
+  #store({ document: kind, version, isUnconfirmed = false }: OfferedDocument, value: object): void {
     const previous = this.#documents[kind];
     const text = JSON.stringify(value);
     const patch = previous.value
@@ -177,10 +193,19 @@
     const isPatchSmaller = previous.value !== undefined && patch.length < text.length;
     const patchBase = isPatchSmaller ? previous.version : -1;
     const patchBaseDigest = isPatchSmaller ? computeDigest(previous.value) : '';
-    this.#documents[kind] = { version, value, text, patch, patchBase, patchBaseDigest };
+    const stored = { version, isUnconfirmed, value, text, patch, patchBase, patchBaseDigest };
+    this.#documents[kind] = stored;
   }
 }
 
+function isSuperseding(
+  { version, isUnconfirmed = false }: OfferedDocument,
+  current: StoredDocument,
+): boolean {
+  if (version !== current.version) return version > current.version;
+  return current.isUnconfirmed && !isUnconfirmed;
+}
+
 /** Computes a digest that ignores the order of keys, which depends on the patches applied. */
 function computeDigest(value: object | undefined): string {
   return createHash('sha1')
--- a/distribution/document_distributor.ts
+++ b/distribution/document_distributor.ts
@@ -11,6 +11,7 @@
 } from '../configuration/mod.ts';
 import type { RandomSource } from '../random/mod.ts';
 import { sleep, type TimerService } from '../timer/mod.ts';
+import { needsReconciliation, reconcileWithPeer } from './reconcile_with_peer.ts';
 
 /**
  * Longest wait of one watch of the platform, in milliseconds. Limits the time for
@@ -143,7 +144,7 @@
    * @param follow Whether the peer should send later versions too.
    */
   requestUpdates(link: PeerLink, follow = false): void {
-    link.sendFrame({ kind: FrameKind.Subscribe, follow, ...this.#getVersions() });
+    link.sendFrame({ kind: FrameKind.Subscribe, follow, ...this.#getConfirmedVersions() });
   }
 
   /**
@@ -168,7 +169,8 @@
         break;
       }
       case FrameKind.Document:
-        this.#offer(frame, link);
+        if (needsReconciliation(frame, this.#options.store)) void this.#reconcile(frame);
+        else this.#offer(frame, link);
         break;
       case FrameKind.Versions:
         if (this.#isBehind(frame.configuration, frame.fleet) && this.#mayReact(link)) {
@@ -236,7 +238,8 @@
     this.#lastReadMs[document] = this.#options.timer.now();
     const afterVersion = store.versionOf(document);
     const { inForce } = store;
-    const read = await platform.read({ document, afterVersion, inForce, waitMs });
+    const isUnconfirmed = store.isUnconfirmed(document);
+    const read = await platform.read({ document, afterVersion, isUnconfirmed, inForce, waitMs });
     this.#isReadFailing[document] = read.isErr();
     if (read.isErr()) {
       log.write(Event.PlatformUnreachable, { document, detail: read.error.detail });
@@ -326,6 +329,11 @@
     }
   }
 
+  async #reconcile(frame: DocumentFrame): Promise<void> {
+    const reconciled = await reconcileWithPeer(frame, this.#options);
+    if (reconciled) this.#offer(reconciled);
+  }
+
   #updateFollowers(): void {
     for (const [link, follower] of this.#followers) {
       if (link.isOpen) this.#sendUpdates(link, follower);
@@ -359,6 +367,14 @@
     };
   }
 
+  /** Returns the versions in force; zero for an unconfirmed one, so that peers send what they have. */
+  #getConfirmedVersions(): Record<DocumentKind, number> {
+    const { store } = this.#options;
+    const versions = this.#getVersions();
+    for (const kind of DOCUMENT_KINDS) if (store.isUnconfirmed(kind)) versions[kind] = 0;
+    return versions;
+  }
+
   #isBehind(configuration: number, fleet: number): boolean {
     const { store } = this.#options;
     if (configuration > store.versionOf(DocumentKind.Configuration)) return true;
--- a/distribution/mod.ts
+++ b/distribution/mod.ts
@@ -11,3 +11,4 @@
  */
 export * from './crash_reports.ts';
 export * from './document_distributor.ts';
+export * from './reconcile_with_peer.ts';
--- a/tap-snapshots/dist/platform/store_source_test.js.test.cjs
+++ b/tap-snapshots/dist/platform/store_source_test.js.test.cjs
@@ -85,7 +85,7 @@
       "workspace": "clubs.example",
     },
   ],
-  "version": 2199023255555,
+  "version": 2199023255558,
   "workspaces": Array [
     Object {
       "hosts": Array [
