Daemons that start together do not send each other what they have just read

Found on reading. Cause: a daemon whose first read is unconfirmed sent it to peers that asked, and they could not tell it from the document of a peer in the period after a restore: in a restart of many daemons each would have read the store again for each peer asked, and have begun such a period without a restore. Change: it is sent only to a daemon that has none, which asks with version 0; a daemon with an unconfirmed one asks with 1. A document of the same version and content replaces nothing.

Test: distribution/unconfirmed_documents_test.ts; before, the two cases that now get none would have got the document (the store sends whatever is above the version asked).

--- a/configuration/document_store.ts
+++ b/configuration/document_store.ts
@@ -127,7 +127,7 @@
   offer(offered: OfferedDocument): OfferResult {
     const { document, version, base, baseDigest } = offered;
     const current = this.#documents[document];
-    if (!isSuperseding(offered, current)) return OfferResult.Old;
+    if (!isSuperseding(offered, current) || isSameContent(offered, current)) return OfferResult.Old;
     // Two readers may get different contents under one version if the platform pages its answers,
     // so the version alone does not identify the base of a patch.
     const isBaseInForce = base === current.version && baseDigest === computeDigest(current.value);
@@ -206,6 +206,11 @@
   return current.isUnconfirmed && !isUnconfirmed;
 }
 
+/** Whether an offered document of the version in force has the same content. */
+function isSameContent({ version, base, text }: OfferedDocument, current: StoredDocument): boolean {
+  return version === current.version && base === 0 && text === current.text;
+}
+
 /** Computes a digest that ignores the order of keys, which depends on the patches applied. */
 function computeDigest(value: object | undefined): string {
   return createHash('sha1')
--- a/distribution/document_distributor.ts
+++ b/distribution/document_distributor.ts
@@ -34,6 +34,8 @@
 const WATCHERLESS_READ_PERIOD_MS = 5_000;
 /** Shortest interval between two reactions to the versions of a peer, in milliseconds. */
 const REACTION_PERIOD_MS = 100;
+/** Version by which a daemon with an unconfirmed document asks for any confirmed one; below all others. */
+const UNCONFIRMED_VERSION = 1;
 const DOCUMENT_KINDS = [DocumentKind.Configuration, DocumentKind.Fleet] as const;
 
 /** Options of {@linkcode DocumentDistributor}. */
@@ -341,9 +343,12 @@
   }
 
   #sendUpdates(link: PeerLink, follower: Follower): void {
+    const { store } = this.#options;
     for (const kind of DOCUMENT_KINDS) {
-      const update = this.#options.store.updateFor(kind, follower.sentVersions[kind]);
-      if (!update) continue;
+      const update = store.updateFor(kind, follower.sentVersions[kind]);
+      // An unconfirmed document is of use only to a daemon that has none.
+      const isUseful = !store.isUnconfirmed(kind) || follower.sentVersions[kind] === 0;
+      if (!update || !isUseful) continue;
       follower.sentVersions[kind] = update.version;
       link.sendFrame({ kind: FrameKind.Document, ...update });
     }
@@ -367,11 +372,12 @@
     };
   }
 
-  /** Returns the versions in force; zero for an unconfirmed one, so that peers send what they have. */
+  /** Returns the versions in force, except unconfirmed ones, so that peers send what they have. */
   #getConfirmedVersions(): Record<DocumentKind, number> {
     const { store } = this.#options;
     const versions = this.#getVersions();
-    for (const kind of DOCUMENT_KINDS) if (store.isUnconfirmed(kind)) versions[kind] = 0;
+    for (const kind of DOCUMENT_KINDS)
+      if (store.isUnconfirmed(kind)) versions[kind] = UNCONFIRMED_VERSION;
     return versions;
   }
 
