Logs and metrics tell whether a crash was recognized, counted and cleared

What callers saw: nothing new.

Added: target-survived (a lost connection whose target answers probes; hypothesis 4), the number of calls without a fingerprint in target-crashed (4), crash-recorded at each daemon with whether it counts (3, and whether reports arrive), fingerprint-cleared (3), call-quarantined with the fingerprint (2), and two counters that outlive the lines: refusals by reason, crashes of the own target.

Measured: build, linter, the tests of guard, metrics and daemon/promises_test pass (43 assertions).

--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -13,7 +13,7 @@
 import { KeyOwner } from '../idempotency/mod.ts';
 import { InstanceStage, newIncarnation, type Instance } from '../instance/mod.ts';
 import { FrameKind, LinkTable, PeerLink, type Dialer, type FrameChannel } from '../link/mod.ts';
-import { NoMetrics, type Metrics } from '../metrics/mod.ts';
+import { Metric, NoMetrics, type Metrics } from '../metrics/mod.ts';
 import { Placement, TargetViews, makePicker } from '../placement/mod.ts';
 import type { Configuration, DocumentSource } from '../configuration/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
@@ -84,7 +84,7 @@
 
   /** @param options See {@linkcode DaemonOptions}. */
   constructor(options: DaemonOptions) {
-    const { settings, timer, target } = options;
+    const { settings, timer, target, metrics = new NoMetrics() } = options;
     const { instance, decisions } = settings;
     this.#settings = settings;
     this.#timer = timer;
@@ -104,6 +104,7 @@
       limitKind: decisions.limit,
       quarantine: this.#quarantine,
       onCrash: (fingerprints) => {
+        metrics.increment(Metric.TargetCrashes);
         void this.#crashReports.reportCrash(fingerprints);
       },
       onCleared: (fingerprint) => {
@@ -147,7 +148,7 @@
       incarnation: this.incarnation,
       ...settings.keys,
     });
-    this.entry = this.#makeEntry(random, options.metrics ?? new NoMetrics());
+    this.entry = this.#makeEntry(random, metrics);
     this.distributor = new DocumentDistributor({
       timer,
       log,
--- a/daemon/daemon_process.ts
+++ b/daemon/daemon_process.ts
@@ -172,6 +172,8 @@
   const reply = await daemon.serve(req);
   const outcome = reply.result.isOk() ? Outcome.Answered : reply.result.error.outcome;
   metrics.increment(Metric.Calls, { outcome });
+  if (reply.result.isErr())
+    metrics.increment(Metric.Refusals, { reason: reply.result.error.reason });
   metrics.timing(Metric.CallMs, timer.now() - startMs, { outcome });
   return reply;
 }
--- a/guard/crash_detector.ts
+++ b/guard/crash_detector.ts
@@ -55,14 +55,22 @@
     const calls = [...this.#lostCalls];
     this.#lostCalls.clear();
     this.#isChecking = false;
-    if (!hasCrashed) return;
+    const { log, getTargetId, onCrash } = this.#options;
+    const target = getTargetId();
+    const ids = calls.map(({ id }) => id).join(',');
+    if (!hasCrashed) {
+      log.write(Event.TargetSurvived, { target, calls: ids });
+      return;
+    }
     const fingerprints = calls.map(computeFingerprint).filter((each) => each !== undefined);
-    this.#options.log.write(Event.TargetCrashed, {
-      target: this.#options.getTargetId(),
-      calls: calls.map(({ id }) => id).join(','),
+    const unknown = calls.length - fingerprints.length;
+    log.write(Event.TargetCrashed, {
+      target,
+      calls: ids,
       fingerprints: fingerprints.join(','),
+      unknown,
     });
-    this.#options.onCrash([...new Set(fingerprints)]);
+    onCrash([...new Set(fingerprints)]);
   }
 
   async #hasCrashed(): Promise<boolean> {
--- a/guard/quarantine.ts
+++ b/guard/quarantine.ts
@@ -132,7 +132,12 @@
     this.#answeredAtMs.delete(fingerprint);
     this.#answeredAtMs.set(fingerprint, this.#timer.now());
     dropOldest(this.#answeredAtMs);
-    return this.#suspects.delete(fingerprint);
+    const suspect = this.#suspects.get(fingerprint);
+    if (!suspect) return false;
+    this.#suspects.delete(fingerprint);
+    const crashes = suspect.crashesAtMs.size;
+    this.#log.write(Event.FingerprintCleared, { fingerprint, crashes });
+    return true;
   }
 
   /**
@@ -149,7 +154,9 @@
     dropOldest(this.#recorded);
     const nowMs = this.#timer.now();
     const answeredAtMs = this.#answeredAtMs.get(fingerprint) ?? -Infinity;
-    if (nowMs - answeredAtMs < ANSWER_WINDOW_MS) return false;
+    const isCounted = nowMs - answeredAtMs >= ANSWER_WINDOW_MS;
+    this.#log.write(Event.CrashRecorded, { fingerprint, crash: crashId, isCounted });
+    if (!isCounted) return false;
     const suspect = this.#suspects.get(fingerprint) ?? {
       crashesAtMs: new Map<string, number>(),
       blockedUntilMs: 0,
@@ -190,6 +197,18 @@
     return Math.max(0, blockedUntilMs - this.#timer.now());
   }
 
+  /**
+   * Logs that a call is refused as its fingerprint is blocked.
+   *
+   * @param call The call.
+   * @param leftMs Time left of the block, in milliseconds.
+   */
+  logRefusal(call: Call, leftMs: number): void {
+    const fingerprint = this.#fingerprintIfNeeded(call);
+    const fields = { call: call.id, fingerprint, leftMs: Math.round(leftMs) };
+    this.#log.write(Event.CallQuarantined, fields);
+  }
+
   #fingerprintIfNeeded(call: Call): string | undefined {
     return this.hasSuspects && call.route.quarantine ? computeFingerprint(call) : undefined;
   }
@@ -205,6 +224,7 @@
 export function checkQuarantine(quarantine: Quarantine, call: Call): Refusal | undefined {
   const retryAfterMs = quarantine.getBlockLeftMs(call);
   if (retryAfterMs === 0) return undefined;
+  quarantine.logRefusal(call, retryAfterMs);
   const detail = 'calls like this one were running when targets crashed';
   return { ...makeNotRunRefusal(RefusalReason.Quarantined, detail), retryAfterMs };
 }
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -2,6 +2,10 @@
 export enum Metric {
   Calls = 'calls',
   CallMs = 'call_ms',
+  /** Calls that were refused, by reason. */
+  Refusals = 'refusals',
+  /** Crashes of the daemon's own target while calls were running. */
+  TargetCrashes = 'target_crashes',
   InFlight = 'in_flight',
   Limit = 'limit',
   Queued = 'queued',
--- a/metrics/prometheus_metrics.ts
+++ b/metrics/prometheus_metrics.ts
@@ -6,14 +6,16 @@
 const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 /** Tag of the latency histogram. */
 const OUTCOME_TAG = 'outcome';
-/** Help text and tag of each counter. */
-const COUNTERS: readonly { metric: Metric; help: string; tag: string }[] = [
+/** Help text of each counter, and its tag if it has one. */
+const COUNTERS: readonly { metric: Metric; help: string; tag?: string }[] = [
   { metric: Metric.Calls, help: 'Calls that ended, by outcome', tag: OUTCOME_TAG },
   {
     metric: Metric.VersionDisagreements,
     help: "Attempts refused because the guard's rules differ, by the order of the entry's version",
     tag: 'entry',
   },
+  { metric: Metric.Refusals, help: 'Calls that were refused, by reason', tag: 'reason' },
+  { metric: Metric.TargetCrashes, help: 'Crashes of the target while calls were running' },
 ];
 
 /** Keeps measurements to be scraped in the text format of Prometheus. */
@@ -50,7 +52,8 @@
     const registers = [registry];
     const counters = COUNTERS.map(({ metric, help, tag }): [Metric, Counter] => {
       const name = `${PREFIX}${metric}`;
-      return [metric, new library.Counter({ name, help, labelNames: [tag], registers })];
+      const labelNames = tag === undefined ? [] : [tag];
+      return [metric, new library.Counter({ name, help, labelNames, registers })];
     });
     const durations = new library.Histogram({
       name: `${PREFIX}${Metric.CallMs}`,
