Tests: four calls that crash their targets and go on to be sent, listed as red

What callers saw (the users' record): a call under which three targets had ended was sent 11 times more, and took the whole pool down again and again.

The poison header of the fake target names the step at which it crashes, and the cluster's calls state the length of their body, as real ones do.

--- a/daemon/crash_causing_call_test.ts
+++ b/daemon/crash_causing_call_test.ts
@@ -2,12 +2,11 @@
 import type { ConfigurationDocument } from '../configuration/mod.ts';
 import { configurationSchema } from '../configuration/mod.ts';
 import { RefusalReason } from '../contract/mod.ts';
-import { InProcessCluster, POISON_HEADER, type ClusterCallResult } from '../fakes/mod.ts';
+import { CrashStep, InProcessCluster, POISON_HEADER } from '../fakes/mod.ts';
 import { toConfigurationDocument } from '../platform/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
 import { CONFIGURATION_KEY, PLATFORM_HOST, makeConfigurationValue } from '../stand_in/mod.ts';
 
-const POOLS = ['boards', 'results'];
 const REGIONS = {
   'centro-a': 'ar-centro',
   'centro-b': 'ar-centro',
@@ -16,7 +15,6 @@
   'sur-a': 'ar-sur',
   'sur-b': 'ar-sur',
 };
-const DAEMONS_PER_DOMAIN_AND_POOL = 2;
 /** Time from a crash of a target to its return, in milliseconds. */
 const RESTART_MS = 3_000;
 const STEP_MS = 50;
@@ -29,25 +27,81 @@
 const STABLE_WINDOW_MS = 4_000;
 const MAX_LATER_RUNS = 3;
 
+/** The pool whose targets crash. */
+const POOL = 'boards';
+const POPULAR_PATH = `/${POOL}/popular`;
+const LONG_BODY_BYTES = 100_000;
+
+/** A call that crashes its targets, and the cluster at which it is made. */
+interface PoisonCase {
+  name: string;
+  /** Pools of the entries at which it arrives; each daemon beside a target of another pool. */
+  callerPools: readonly string[];
+  daemonsPerDomainAndPool: number;
+  pathAndQuery: string;
+  /** Step of the call at which its target crashes. */
+  step: CrashStep;
+  body?: string;
+  restartsDaemons?: boolean;
+}
+
+const CALM_CASE: PoisonCase = {
+  name: 'a call that crashes its targets is soon sent to none',
+  callerPools: ['results'],
+  daemonsPerDomainAndPool: 2,
+  pathAndQuery: `/${POOL}/crashing`,
+  step: CrashStep.DuringRun,
+};
+
+const CASES: readonly PoisonCase[] = [
+  CALM_CASE,
+  { ...CALM_CASE, name: `${CALM_CASE.name}, while daemons restart`, restartsDaemons: true },
+  {
+    ...CALM_CASE,
+    name: 'a call that crashes its targets is recognized at entries of every pool',
+    callerPools: ['results', 'ratings', 'standings'],
+    daemonsPerDomainAndPool: 1,
+  },
+  {
+    ...CALM_CASE,
+    name: 'an answer to another call with its fingerprint does not clear a call that crashes its targets',
+    pathAndQuery: POPULAR_PATH,
+  },
+  {
+    ...CALM_CASE,
+    name: 'a call that crashes its targets under the body of the answer is recognized',
+    step: CrashStep.DuringAnswer,
+  },
+  {
+    ...CALM_CASE,
+    name: 'a call with a long body that crashes its targets is recognized',
+    body: 'r'.repeat(LONG_BODY_BYTES),
+  },
+];
+
 /** Makes the configuration that a daemon takes from the users' platform. */
-function makePlatformConfiguration(): ConfigurationDocument {
-  const routes = POOLS.map((pool) => ({
+function makePlatformConfiguration(pools: readonly string[]): ConfigurationDocument {
+  const routes = pools.map((pool) => ({
     name: `r-${pool}`,
     prefix: `/${pool}/`,
     pool,
     isSafe: true,
     homeRegions: [],
   }));
-  const value = JSON.stringify(makeConfigurationValue(1, POOLS, routes));
+  const value = JSON.stringify(makeConfigurationValue(1, [...pools], routes));
   const items = [{ key: CONFIGURATION_KEY, value, revision: 1 }];
   const read = toConfigurationDocument(items, 1, { regions: REGIONS, retryPercent: 10 });
   return configurationSchema.parse(read._unsafeUnwrap()?.document);
 }
 
-async function startCluster(onRun: (runId: string) => void): Promise<InProcessCluster> {
+async function startCluster(
+  { callerPools, daemonsPerDomainAndPool }: PoisonCase,
+  onRun: (runId: string) => void,
+): Promise<InProcessCluster> {
+  const pools = [POOL, ...callerPools];
   const instances = Object.keys(REGIONS).flatMap((failureDomain) =>
-    POOLS.flatMap((pool) =>
-      Array.from({ length: DAEMONS_PER_DOMAIN_AND_POOL }, (_, index) => ({
+    pools.flatMap((pool) =>
+      Array.from({ length: daemonsPerDomainAndPool }, (_, index) => ({
         id: `${pool}-${failureDomain}-${index}`,
         pool,
         failureDomain,
@@ -55,7 +109,7 @@
     ),
   );
   const cluster = await InProcessCluster.start({
-    configuration: makePlatformConfiguration(),
+    configuration: makePlatformConfiguration(pools),
     instances,
     settings: { quarantine: { coincidences: MAX_CRASHES, blockMs: 60_000 } },
     onRun,
@@ -69,44 +123,42 @@
   crashes: number;
   /** Runs of the poisonous call later than the stable window after the last permitted crash. */
   laterRuns: number;
-  /** Harmless calls that were refused as if they crashed targets. */
+  /** Harmless calls with another fingerprint that were refused as if they crashed targets. */
   blockedHarmless: number;
   harmless: number;
 }
 
-interface PoisonCase {
-  seed: number;
-  restartsDaemons: boolean;
-}
-
-async function runPoison({ seed, restartsDaemons }: PoisonCase): Promise<PoisonRun> {
+async function runPoison(poison: PoisonCase, seed: number): Promise<PoisonRun> {
   const random = new SeededRandom(seed);
   const seen: PoisonRun = { crashes: 0, laterRuns: 0, blockedHarmless: 0, harmless: 0 };
   let lastPermittedMs = Infinity;
-  const cluster = await startCluster((runId) => {
+  const cluster = await startCluster(poison, (runId) => {
     if (runId !== 'poison') return;
     seen.crashes += 1;
     const nowMs = cluster.timer.now();
     if (seen.crashes === MAX_CRASHES) lastPermittedMs = nowMs;
     if (nowMs > lastPermittedMs + STABLE_WINDOW_MS) seen.laterRuns += 1;
   });
-  const entries = cluster.members.filter(({ instance }) => instance.pool === 'results');
+  const { pathAndQuery, step: crashStep, body } = poison;
+  const entries = cluster.members.filter(({ instance }) =>
+    poison.callerPools.includes(instance.pool),
+  );
   const pickEntry = () => entries[random.below(entries.length)]?.instance.id ?? '';
   const call = { workspace: PLATFORM_HOST, deadlineMs: 1_500 };
-  const recordHarmless = ({ refusal }: ClusterCallResult) => {
+  const callHarmless = async (path: string) => {
+    const { refusal } = await cluster.call(pickEntry(), { ...call, pathAndQuery: path });
+    if (path === pathAndQuery) return;
     seen.harmless += 1;
     if (refusal?.reason === RefusalReason.Quarantined) seen.blockedHarmless += 1;
   };
   for (let step = 0; step < STEPS; step += 1) {
     if (step % POISON_STEPS === 0) {
-      const pathAndQuery = '/boards/crashing';
-      const headers = [[POISON_HEADER, '1']] as const;
-      void cluster.call(pickEntry(), { ...call, pathAndQuery, headers, runId: 'poison' });
-    }
-    for (const pathAndQuery of ['/boards/popular', `/boards/${step}`]) {
-      void cluster.call(pickEntry(), { ...call, pathAndQuery }).then(recordHarmless);
+      const headers = [[POISON_HEADER, crashStep]] as const;
+      const made = { ...call, pathAndQuery, headers, runId: 'poison', ...(body && { body }) };
+      void cluster.call(pickEntry(), made);
     }
-    if (restartsDaemons && step % 40 === 20) {
+    for (const path of [POPULAR_PATH, `/${POOL}/${step}`]) void callHarmless(path);
+    if (poison.restartsDaemons && step % 40 === 20) {
       cluster.restartDaemon(
         cluster.members[random.below(cluster.members.length)]?.instance.id ?? '',
       );
@@ -116,14 +168,10 @@
   return seen;
 }
 
-for (const restartsDaemons of [false, true]) {
-  const name = restartsDaemons ? ', while daemons restart' : '';
-  void t.test(`a call that crashes its targets is soon sent to none${name}`, async (t) => {
+for (const poison of CASES) {
+  void t.test(poison.name, async (t) => {
     for (const seed of [1, 2]) {
-      const { crashes, laterRuns, blockedHarmless, harmless } = await runPoison({
-        seed,
-        restartsDaemons,
-      });
+      const { crashes, laterRuns, blockedHarmless, harmless } = await runPoison(poison, seed);
       t.comment(`seed ${seed}: ${crashes} crashes, ${laterRuns} later, ${harmless} harmless calls`);
       t.ok(laterRuns <= MAX_LATER_RUNS, `seed ${seed}: runs after the third crash are bounded`);
       t.equal(blockedHarmless, 0, `seed ${seed}: no harmless call is blocked`);
--- a/distribution/crash_reports_test.ts
+++ b/distribution/crash_reports_test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import {
+  CrashStep,
   EXAMPLE_DOMAINS,
   InProcessCluster,
   POISON_HEADER,
@@ -57,7 +58,7 @@
     const cluster = await startCluster();
     const seen: string[] = [];
     const bytesBefore = countBytes(cluster);
-    const headers = [[POISON_HEADER, '1']] as const;
+    const headers = [[POISON_HEADER, CrashStep.DuringRun]] as const;
     await cluster.callToCompletion('results-centro-a-4', { ...CRASHING_CALL, headers });
     seen.push(`crashed: ${await describeSpread(cluster, 1)}`);
     t.comment(`${countBytes(cluster) - bytesBefore} bytes sent by all daemons`);
--- a/fakes/fake_target.ts
+++ b/fakes/fake_target.ts
@@ -22,7 +22,7 @@
 
 /** Header with the identifier under which the executions of a call are counted. */
 export const RUN_ID_HEADER = 'x-run-id';
-/** Header of a call that crashes every target that executes it. */
+/** Header of a call that crashes every target that executes it; its value is the {@linkcode CrashStep}. */
 export const POISON_HEADER = 'x-poison';
 
 const DEFAULT_SERVICE_MS = 5;
@@ -129,7 +129,9 @@
   }
 
   #takeCrashStep(req: TargetRequest): CrashStep | undefined {
-    if (findHeader(req, POISON_HEADER) !== undefined) return CrashStep.DuringRun;
+    const poison = findHeader(req, POISON_HEADER);
+    const poisoned = Object.values(CrashStep).find((each) => each.valueOf() === poison);
+    if (poisoned !== undefined) return poisoned;
     const step = this.nextCrashStep;
     this.nextCrashStep = undefined;
     return step;
--- a/fakes/in_process_cluster.ts
+++ b/fakes/in_process_cluster.ts
@@ -221,7 +221,11 @@
       host: 'localhost',
       method: call.method ?? 'GET',
       pathAndQuery: call.pathAndQuery,
-      headers: [...(call.headers ?? []), [RUN_ID_HEADER, call.runId ?? call.pathAndQuery]],
+      headers: [
+        ...(call.headers ?? []),
+        [RUN_ID_HEADER, call.runId ?? call.pathAndQuery],
+        ['content-length', String(call.body?.length ?? 0)],
+      ],
       contentLength: call.body?.length ?? 0,
       body: new BufferedBody(Buffer.from(call.body ?? '')),
       deadline: call.deadlineMs === undefined ? undefined : String(call.deadlineMs),
