--- a/daemon/promises_test.ts
+++ b/daemon/promises_test.ts
@@ -2,6 +2,7 @@
 import {
   CrashStep,
   EXAMPLE_DOMAINS,
+  POISON_HEADER,
   PlatformState,
   InProcessCluster,
   makeExampleConfiguration,
@@ -252,7 +253,10 @@
 
 void t.test('quarantine blocks a call that crashes each target', async (t) => {
   const cluster = await startCluster();
-  const poison: ClusterCall = { pathAndQuery: '/halls/9', headers: [['x-poison', '1']] };
+  const poison: ClusterCall = {
+    pathAndQuery: '/halls/9',
+    headers: [[POISON_HEADER, CrashStep.DuringRun]],
+  };
   const seen: string[] = [];
   for (let round = 0; round < 3; round += 1) {
     seen.push(describe(await cluster.callToCompletion('results-centro-a', poison)));
