A call that crashes its targets is recognized at entries of every pool

Cause: the fingerprint covered the pool of the entry's own instance, so that one call had as many fingerprints as there are pools whose instances it enters at.

--- a/contract/fingerprint.ts
+++ b/contract/fingerprint.ts
@@ -7,8 +7,8 @@
 const FINGERPRINT_LENGTH = 22;
 
 /**
- * Computes the fingerprint of a call, which is the same whenever the same caller sends the same
- * call again, at any entry.
+ * Computes the fingerprint of a call, which is the same whenever the call is made again, at any
+ * entry. The caller's pool is no part of it, as entries beside targets of any pool may be used.
  *
  * @param call The call.
  * @returns Its fingerprint; `undefined` while its body has not been read, or if it is too large to
@@ -16,7 +16,6 @@
  */
 export function computeFingerprint({
   route,
-  callerPool,
   method,
   pathAndQuery,
   body,
@@ -24,7 +23,7 @@
   const bytes = getCompleteBytes(body);
   if (!bytes) return undefined;
   return createHash('sha256')
-    .update(JSON.stringify([route.workspace, callerPool, method, pathAndQuery]))
+    .update(JSON.stringify([route.workspace, method, pathAndQuery]))
     .update(bytes)
     .digest('base64url')
     .slice(0, FINGERPRINT_LENGTH);
