A call that is suspected to crash its targets is not sent again after a lost attempt

What callers saw: each time that a call came which ends its targets, it ended two of them, the second one within 0.1 s, before anything was learned of the first.

Cause: an entry sent a safe call to a second target after a lost attempt, whatever the quarantine knew of it, unless as many attempts were lost as block a call.

Change: once a crash under the call's fingerprint is known, a lost attempt is its last. The first call of a series still takes two, as its entry cannot know: a crash is confirmed after 0.1 s, and waiting for that would delay every call whose connection was merely lost. Weighed too: no second attempt if the call was the only one at its target; most targets that end do so for other reasons, and their calls are served by the second attempt.

--- a/guard/quarantine.ts
+++ b/guard/quarantine.ts
@@ -110,6 +110,15 @@
     return fingerprint === undefined ? 0 : this.#getBlockLeftMs(fingerprint);
   }
 
+  /**
+   * @param call A call.
+   * @returns Whether calls with its fingerprint were running at a crash lately.
+   */
+  isSuspected(call: Call): boolean {
+    const fingerprint = this.#fingerprintIfNeeded(call);
+    return fingerprint !== undefined && this.#suspects.has(fingerprint);
+  }
+
   /**
    * Records that a target has answered a call.
    *
@@ -230,20 +239,22 @@
 }
 
 /**
- * Checks whether a call may be sent to a further target. An entry cannot tell at once whether the
- * targets of the attempts that it has lost have crashed.
+ * Checks whether a call may be sent to a further target after it has lost attempts. An entry cannot
+ * tell at once whether the targets of these have crashed.
  *
  * @param quarantine The quarantine.
  * @param call The call.
  * @param lostCount Number of its attempts without a result.
- * @returns A refusal if they are as many as the crashes for which a call is blocked.
+ * @returns A refusal if the call is suspected, or if the attempts are as many as the crashes for
+ * which a call is blocked.
  */
 export function checkLostAttempts(
-  { coincidenceLimit }: Quarantine,
+  quarantine: Quarantine,
   call: Call,
   lostCount: number,
 ): Refusal | undefined {
-  if (!call.route.quarantine || lostCount < coincidenceLimit) return undefined;
+  if (!call.route.quarantine || lostCount === 0) return undefined;
+  if (lostCount < quarantine.coincidenceLimit && !quarantine.isSuspected(call)) return undefined;
   const detail = `the results of ${lostCount} attempts were lost`;
   return makeNotRunRefusal(RefusalReason.Quarantined, detail);
 }
