A target that ends under the body of its answer has crashed

What callers saw: a call that ends its targets once they have sent the head of their answer ended 52 and 46 targets of twelve in 30 s, 43 and 37 of them later than 4 s after the third; its callers got truncated answers.

Cause: the guard took a head below 500 for an answer and reported it as such, and a body that breaks off only as the loss of a connection, after which no crash is looked for. Now an answer is reported after its body, and a body that breaks off starts the check for a crash.

Evidence: 'a call that crashes its targets under the body of the answer is recognized', red since: 3 and 3 targets end, none later, and none of 2,400 harmless calls is refused. truncated_answer_test, promises_test and the tests of the guard pass.

--- a/guard/guard.ts
+++ b/guard/guard.ts
@@ -419,7 +419,7 @@
         makeNotRunRefusal(RefusalReason.TargetShed, 'the target shed the call'),
       );
     }
-    return ok(this.#releaseAfterBody(result.value, executionLimit));
+    return ok(this.#releaseAfterBody(call, result.value, executionLimit));
   }
 
   #runTarget(call: Call, signal: AbortSignal): Promise<Result<TargetAnswer, TargetFailure>> {
@@ -471,22 +471,33 @@
     const source = shed ? NoticeSource.Shed : NoticeSource.Answer;
     this.#notices.record({ statement, sentAtMs, source });
     if (shed) return;
-    const answered = succeeded ? this.#options.quarantine.takeAnswerReport(call) : undefined;
-    if (answered !== undefined) this.#options.onSuspectAnswered(answered);
     this.#serviceTime.record(elapsedMs);
     this.#limit.record({ elapsedMs, inFlight, succeeded });
     const inTime = succeeded && !call.deadline.hasPassed;
     this.#warmUp.recordAnswer(inTime, this.#limit.current);
   }
 
+  /** A call counts as answered only after the body, as the target may crash before its end. */
+  #recordBodyEnd(call: Call, status: number, end: BodyEnd): void {
+    if (end === BodyEnd.Truncated) this.#recordConnectionLost(call);
+    if (end !== BodyEnd.Complete || status >= SERVER_ERROR_STATUS) return;
+    const { quarantine, onSuspectAnswered } = this.#options;
+    const fingerprint = quarantine.takeAnswerReport(call);
+    if (fingerprint !== undefined) onSuspectAnswered(fingerprint);
+  }
+
+  #recordConnectionLost(call: Call): void {
+    this.#crashDetector.recordLost(call);
+    this.#health.recordConnectionLost();
+  }
+
   #recordFailure(call: Call, failure: TargetFailure): void {
     switch (failure.kind) {
       case TargetFailureKind.NotSent:
         this.#health.recordConnectionRefused();
         break;
       case TargetFailureKind.ConnectionLost:
-        this.#crashDetector.recordLost(call);
-        this.#health.recordConnectionLost();
+        this.#recordConnectionLost(call);
         break;
       case TargetFailureKind.MalformedAnswer:
       case TargetFailureKind.RequestTruncated:
@@ -511,7 +522,8 @@
   }
 
   /** Releases the slot when the answer's body completes or the execution is cancelled. */
-  #releaseAfterBody(answer: TargetAnswer, { signal, expiry }: ExecutionLimit): Answer {
+  #releaseAfterBody(call: Call, answer: TargetAnswer, { signal, expiry }: ExecutionLimit): Answer {
+    const { status, headers } = answer;
     let isReleased = false;
     const release = () => {
       if (isReleased) return;
@@ -524,9 +536,8 @@
     if (signal.aborted) release();
     const body = watchBody(answer.body, (end) => {
       release();
-      if (end === BodyEnd.Truncated && !signal.aborted) this.#health.recordConnectionLost();
+      if (!signal.aborted) this.#recordBodyEnd(call, status, end);
     });
-    const { status, headers } = answer;
     return { status, headers, body, load: this.load };
   }
 
