A range or document without end is not read into memory

What callers of a daemon would see: a store, or whatever answers in its place, that sends page after page makes the daemon keep 64 pages of up to 8 MB; a service of documents that never ends its body, all that arrives within the timeout. The process runs out of memory and the calls of its callers end with it.

Found by looking through all readers: answers of targets (head, interim answers, reason phrase, chunk extensions, trailers, body, probes) are bounded since link/unbounded_answer_test.ts, callers that do not read since daemon/unbounded_answer_test.ts, single answers of the store since platform/unbounded_answer_test.ts, messages of peers by their size.

Evidence: 'StoreClient stops reading a range with pages without end' and configuration/unbounded_document_test.ts; before the change 64 pages of 1 MB and of 8 MB were read and the range accepted as complete, and over 32 MiB of the document were read.

--- a/configuration/http_source.ts
+++ b/configuration/http_source.ts
@@ -10,6 +10,8 @@
 /** Time beyond the requested wait after which a read fails, in milliseconds. */
 const READ_TIMEOUT_MS = 2_000;
 const CONNECTIONS = 2;
+/** Largest document that is read, in bytes. */
+const DOCUMENT_LIMIT_BYTES = 16_777_216;
 /** Header with the version of a document. */
 export const VERSION_HEADER = 'document-version';
 
@@ -20,7 +22,12 @@
 
   /** @param url Origin of the platform's service. */
   constructor(url: string) {
-    this.#pool = new Pool(url, { connections: CONNECTIONS, headersTimeout: 0, bodyTimeout: 0 });
+    this.#pool = new Pool(url, {
+      connections: CONNECTIONS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      maxResponseSize: DOCUMENT_LIMIT_BYTES,
+    });
   }
 
   async read(req: ReadRequest): Promise<Result<PublishedDocument | undefined, SourceError>> {
--- a/tap-snapshots/dist/platform/unbounded_answer_test.js.test.cjs
+++ b/tap-snapshots/dist/platform/unbounded_answer_test.js.test.cjs
@@ -5,6 +5,13 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`dist/platform/unbounded_answer_test.js > TAP > StoreClient stops reading a range with pages without end > ranges 1`] = `
+Array [
+  "full pages: no answer, stopped",
+  "pages near the limit of an answer: no answer, stopped",
+]
+`
+
 exports[`dist/platform/unbounded_answer_test.js > TAP > StoreClient stops reading an unbounded answer > reads 1`] = `
 Array [
   "a status line: no answer before its timeout, stopped; next read: revision 7",
