Evidence of answers expires like that of crashes, and crashes are repeated first

Old answers would have outweighed new crashes for as long as a call stayed suspected, and many answers could have crowded the crashes out of what is repeated over a new link. guard/limits_test.ts has a row for the first: a popular call that crashes two targets a minute after its answers is blocked.

--- a/guard/limits_test.ts
+++ b/guard/limits_test.ts
@@ -69,6 +69,8 @@
     await record(EvidenceKind.Answer, 'of a call that was running', ['mixed', 'popular']);
     await timer.advance(61_000);
     await record(EvidenceKind.Crash, 'a minute later', ['poison', 'neighbour']);
+    await record(EvidenceKind.Crash, 'e', ['popular']);
+    await record(EvidenceKind.Crash, 'f', ['popular']);
     t.matchSnapshot(seen, 'blocked');
   },
 );
--- a/guard/quarantine.ts
+++ b/guard/quarantine.ts
@@ -3,6 +3,7 @@
   computeFingerprint,
   makeNotRunRefusal,
   type Call,
+  type Deadline,
   type Refusal,
 } from '../contract/mod.ts';
 import { Event, type EventLog } from '../event_log/mod.ts';
@@ -41,8 +42,8 @@
 const MAX_BLOCK_MS = 36_000_000;
 /** Time for which a crash counts, in milliseconds; a call that crashes targets may be rare. */
 const CRASH_WINDOW_MS = 600_000;
-/** Time for which a crash counts if calls with the fingerprint were answered since, in milliseconds. */
-const ANSWERED_CRASH_WINDOW_MS = 60_000;
+/** Time for which evidence counts if calls with the fingerprint were answered, in milliseconds. */
+const ANSWERED_WINDOW_MS = 60_000;
 /** Time within which several crashes count as one, in milliseconds, as they may have a common cause. */
 const COMMON_CAUSE_MS = 100;
 /** Reported answers that outweigh one crash. */
@@ -80,6 +81,8 @@
   readonly #suspects = new Map<string, Suspect>();
   /** Evidence recorded before, so that what peers repeat is counted once. */
   readonly #recorded = new Map<string, true>();
+  /** Fingerprints of calls by their deadlines, which the copies of a call share. */
+  readonly #fingerprints = new WeakMap<Deadline, string>();
 
   /**
    * @param timer The clock.
@@ -108,11 +111,15 @@
     const nowMs = this.#timer.now();
     const list = (fingerprint: string, kind: EvidenceKind, atMs: ReadonlyMap<string, number>) =>
       [...atMs].map(([id, each]): Evidence => ({ fingerprint, kind, id, ageMs: nowMs - each }));
-    const all = [...this.#suspects].flatMap(([fingerprint, { crashesAtMs, answersAtMs }]) => [
-      ...list(fingerprint, EvidenceKind.Crash, crashesAtMs),
-      ...list(fingerprint, EvidenceKind.Answer, answersAtMs),
-    ]);
-    return all.slice(-MAX_REPEATED);
+    const suspects = [...this.#suspects];
+    const answers = suspects.flatMap(([fingerprint, { answersAtMs }]) =>
+      list(fingerprint, EvidenceKind.Answer, answersAtMs),
+    );
+    const crashes = suspects.flatMap(([fingerprint, { crashesAtMs }]) =>
+      list(fingerprint, EvidenceKind.Crash, crashesAtMs),
+    );
+    // Crashes come last, as a daemon that misses them sends such calls on.
+    return [...answers, ...crashes].slice(-MAX_REPEATED);
   }
 
   /**
@@ -158,6 +165,18 @@
     return fingerprint;
   }
 
+  /**
+   * Logs that a call is refused as its fingerprint is blocked.
+   *
+   * @param call The call.
+   * @param leftMs Time left of the block, in milliseconds.
+   */
+  logRefusal(call: Call, leftMs: number): void {
+    const fingerprint = this.#fingerprintIfNeeded(call);
+    const fields = { call: call.id, fingerprint, leftMs: Math.round(leftMs) };
+    this.#log.write(Event.CallQuarantined, fields);
+  }
+
   /**
    * Records evidence.
    *
@@ -242,20 +261,11 @@
     return Math.max(0, blockedUntilMs - this.#timer.now());
   }
 
-  /**
-   * Logs that a call is refused as its fingerprint is blocked.
-   *
-   * @param call The call.
-   * @param leftMs Time left of the block, in milliseconds.
-   */
-  logRefusal(call: Call, leftMs: number): void {
-    const fingerprint = this.#fingerprintIfNeeded(call);
-    const fields = { call: call.id, fingerprint, leftMs: Math.round(leftMs) };
-    this.#log.write(Event.CallQuarantined, fields);
-  }
-
   #fingerprintIfNeeded(call: Call): string | undefined {
-    return this.hasSuspects && call.route.quarantine ? computeFingerprint(call) : undefined;
+    if (!this.hasSuspects || !call.route.quarantine) return undefined;
+    const fingerprint = this.#fingerprints.get(call.deadline) ?? computeFingerprint(call);
+    if (fingerprint !== undefined) this.#fingerprints.set(call.deadline, fingerprint);
+    return fingerprint;
   }
 }
 
@@ -311,10 +321,9 @@
 }
 
 function dropExpired({ crashesAtMs, answersAtMs }: Suspect, nowMs: number): void {
-  const windowMs = answersAtMs.size > 0 ? ANSWERED_CRASH_WINDOW_MS : CRASH_WINDOW_MS;
-  for (const [id, atMs] of crashesAtMs) {
-    if (nowMs - atMs >= windowMs) crashesAtMs.delete(id);
-  }
+  const windowMs = answersAtMs.size > 0 ? ANSWERED_WINDOW_MS : CRASH_WINDOW_MS;
+  for (const evidence of [crashesAtMs, answersAtMs])
+    for (const [id, atMs] of evidence) if (nowMs - atMs >= windowMs) evidence.delete(id);
 }
 
 function dropOldest(records: Map<string, unknown>): void {
--- a/tap-snapshots/dist/guard/limits_test.js.test.cjs
+++ b/tap-snapshots/dist/guard/limits_test.js.test.cjs
@@ -78,6 +78,8 @@
   "crash d: counted mixed,popular; blocked poison,mixed,popular",
   "answer of a call that was running: counted mixed,popular; blocked poison,mixed",
   "crash a minute later: counted poison,neighbour; blocked poison,neighbour",
+  "crash e: counted popular; blocked poison,neighbour",
+  "crash f: counted popular; blocked poison,popular,neighbour",
 ]
 `
 
