Soak: a call that crashes its targets comes again and again, at any machine

A call with one path is made each 0.7 s at a machine drawn at random, beside kills, pauses, path faults and restores, and ends each target that begins to run it. The soak reports more than three runs later than 4 s after the third crash, if the machine that the call entered at had no fault. Owed since the quarantine covered the users' platform: the soak had no such call.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,10 +1,12 @@
+import { Client } from 'undici';
 import type { RandomSource } from '../random/mod.ts';
 import { StoreMode } from '../stand_in/mod.ts';
 import { sleep } from '../timer/mod.ts';
 import { PathState } from './fault_proxy.ts';
-import { Guarantee, makeFinding } from './guarantees.ts';
+import { CRASHING_PATH, Guarantee, makeFinding } from './guarantees.ts';
+import { SoakClient } from './soak_client.ts';
 import { MachinePath, type SoakMachine } from './soak_machine.ts';
-import type { SoakCluster } from './soak_cluster.ts';
+import { ROUTES, type SoakCluster } from './soak_cluster.ts';
 
 /** Longest duration of a fault, in milliseconds. */
 const MAX_FAULT_MS = 3_000;
@@ -197,6 +199,24 @@
   }
 }
 
+/** Makes a call that crashes each target that begins to run it, at any machine. */
+export class CrashingCall implements SoakFault {
+  readonly name = 'crashing-call';
+  #count = 0;
+
+  async inject(cluster: SoakCluster, random: RandomSource): Promise<void> {
+    const [route] = ROUTES;
+    if (!route) return;
+    const machine = pickOne(cluster.machines, random);
+    this.#count += 1;
+    const name = `crashing-${this.#count}`;
+    const client = new SoakClient(cluster, machine, { name, random });
+    const connection = new Client(machine.origin);
+    await client.call(connection, route, CRASHING_PATH);
+    await connection.destroy();
+  }
+}
+
 /** Takes a failure domain out of service and puts it back. */
 export class Evacuation implements SoakFault {
   readonly name = 'evacuation';
--- a/soak/guarantees.ts
+++ b/soak/guarantees.ts
@@ -13,6 +13,8 @@
   Pool = 'pool',
   Drain = 'drain',
   Evacuation = 'evacuation',
+  /** A call that crashes its targets is soon sent to none. */
+  CrashingCall = 'crashing-call',
   PlannedStop = 'planned-stop',
   Configuration = 'configuration',
   Recovery = 'recovery',
@@ -48,6 +50,8 @@
   body: string | undefined;
   /** Whether the client did not disconnect, and neither its machine nor those that ran the call had an unplanned fault around the call. */
   wasFaultFree: boolean;
+  /** Whether the machine that the client called had no unplanned fault when the call was sent, nor shortly before. */
+  wasEntryFaultFree: boolean;
 }
 
 /** A run of a call at a target, with the region of the target. */
@@ -58,6 +62,13 @@
 /** Statuses of refusals: the call has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 const MS_PER_SECOND = 1_000;
+/** Path of the call that crashes its targets. */
+export const CRASHING_PATH = '/board/crashing';
+/** Crash after which the call must no longer be sent, and later runs that are tolerated. */
+const COUNTED_CRASH = 3;
+const MAX_LATER_RUNS = 3;
+/** Time from that crash by which all daemons know of it, in milliseconds: the sites' `stable_window`. */
+const CRASH_LEARNING_MS = 4_000;
 /** A cold target may get its tolerated rate times this factor, plus an allowance in calls per second. */
 const COLD_RATE_FACTOR = 1.5;
 const COLD_RATE_ALLOWANCE = 5;
@@ -91,6 +102,7 @@
     ),
     ...findColdRateViolations(runs),
     ...findNamedRateViolations(runs),
+    ...findCrashingCallViolations(calls, runs),
   ];
 }
 
@@ -164,6 +176,23 @@
   });
 }
 
+function findCrashingCallViolations(
+  calls: readonly ObservedCall[],
+  runs: readonly ObservedRun[],
+): SoakFinding[] {
+  const inTouch = new Set(
+    calls.filter(({ wasEntryFaultFree }) => wasEntryFaultFree).map(({ id }) => id),
+  );
+  const crashes = runs.filter(({ path }) => path === CRASHING_PATH);
+  const countedAtMs = crashes[COUNTED_CRASH - 1]?.atMs ?? Infinity;
+  const later = crashes.filter(
+    ({ callId, atMs }) => atMs > countedAtMs + CRASH_LEARNING_MS && inTouch.has(callId),
+  );
+  if (later.length <= MAX_LATER_RUNS) return [];
+  const detail = `${crashes.length} runs crashed their targets, ${later.length} of them too late`;
+  return [makeFinding(Guarantee.CrashingCall, detail)];
+}
+
 /** Counts the times in the window that holds most of them. */
 function countMost(times: readonly number[], windowMs: number): number {
   return Math.max(
--- a/soak/guarantees_test.ts
+++ b/soak/guarantees_test.ts
@@ -1,6 +1,11 @@
 import t from 'tap';
 import { makeAnswer } from '../stand_in/mod.ts';
-import { findViolations, type ObservedCall, type ObservedRun } from './guarantees.ts';
+import {
+  CRASHING_PATH,
+  findViolations,
+  type ObservedCall,
+  type ObservedRun,
+} from './guarantees.ts';
 
 const CALL: ObservedCall = {
   id: 'c-1',
@@ -17,6 +22,7 @@
   isSigned: true,
   body: makeAnswer('c-1', '/result/1'),
   wasFaultFree: true,
+  wasEntryFaultFree: true,
 };
 const RUN: ObservedRun = {
   callId: 'c-1',
@@ -35,6 +41,15 @@
 /** Calls in two seconds that a target with this rate does and does not tolerate. */
 const RATED_RUNS = { tolerated: 17, tooMany: 18 };
 
+/** Makes runs of the call that crashes its targets: three, and others later than daemons need to know of them. */
+function makeCrashes(later: number): Case {
+  const atMs = [0, 100, 200, ...Array.from({ length: later }, (_, index) => 5_000 + index * 100)];
+  return {
+    call: { isSafe: true, path: CRASHING_PATH, status: 502 },
+    runs: atMs.map((each) => ({ path: CRASHING_PATH, atMs: each })),
+  };
+}
+
 interface Case {
   call?: Partial<ObservedCall>;
   runs?: Partial<ObservedRun>[];
@@ -57,6 +72,8 @@
   'a run under another pool of the caller': { runs: [{ callerPool: 'none' }] },
   'a run of a call that no client sent': { runs: [{}, { callId: 'c-9' }] },
   'a run in another region': { runs: [{ region: 'ar-sur' }] },
+  'a call that crashes its targets': makeCrashes(3),
+  'a call that goes on to crash its targets': makeCrashes(4),
   'a connection cut while the call ran': { call: { status: undefined, body: undefined } },
   'a connection cut close to a fault': {
     call: { status: undefined, body: undefined, wasFaultFree: false },
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -8,6 +8,7 @@
 import {
   AddressReuse,
   ConfigurationChange,
+  CrashingCall,
   Evacuation,
   HistoryLoss,
   PathFault,
@@ -35,6 +36,8 @@
 const RESTORE_INTERVAL_MS = 6_000;
 /** Time from one reuse of an address to the next, in milliseconds. */
 const REUSE_INTERVAL_MS = 4_000;
+/** Time from one call that crashes its targets to the next, in milliseconds. */
+const CRASH_INTERVAL_MS = 700;
 /** Time between two faults, in milliseconds. */
 const FAULT_INTERVAL_MS = { min: 100, max: 1_500 };
 /** Time after the last fault by which service must have recovered, in milliseconds: below the sites' `recovery`. */
@@ -108,8 +111,13 @@
     intervalMs: REUSE_INTERVAL_MS,
     faultPhaseMs,
   });
+  const crashes = injectEvery(new CrashingCall(), cluster, {
+    random: new SeededRandom(seed),
+    intervalMs: CRASH_INTERVAL_MS,
+    faultPhaseMs,
+  });
   const faults = await injectFaults(cluster, { ...options, random, faultPhaseMs });
-  await Promise.all([rates, restores, reuses]);
+  await Promise.all([rates, restores, reuses, crashes]);
   await sleep(timer, RECOVERY_MS);
   stopClients.abort();
   await Promise.all(clientRuns);
--- a/soak/soak_client.ts
+++ b/soak/soak_client.ts
@@ -61,9 +61,10 @@
    *
    * @param connection A connection to the machine.
    * @param route Route of the call.
+   * @param path Path of the call; one of its own by default.
    * @returns The call as the client observed it.
    */
-  async call(connection: Client, route: PlatformRoute): Promise<ObservedCall> {
+  async call(connection: Client, route: PlatformRoute, path?: string): Promise<ObservedCall> {
     const { timer } = this.#cluster;
     this.#callCount += 1;
     const id = `${this.#name}-${this.#callCount}`;
@@ -73,7 +74,8 @@
       ? this.#random.below(MAX_DISCONNECT_DELAY_MS) + 1
       : DEADLINE_MS;
     const sentAtMs = timer.now();
-    const path = `${route.prefix}${id}?round=${this.#callCount}`;
+    const sentPath = path ?? `${route.prefix}${id}?round=${this.#callCount}`;
+    const wasEntryFaultFree = this.#machine.wasFaultFreeSince(sentAtMs);
     const method = route.isSafe ? 'GET' : 'POST';
     const abortController = new AbortController();
     const timeout = timer.after(timeoutMs, () => {
@@ -87,7 +89,7 @@
     try {
       const res = await connection.request({
         method,
-        path,
+        path: sentPath,
         headers: {
           host: PLATFORM_HOST,
           'request-id': id,
@@ -108,7 +110,7 @@
     const observedCall: ObservedCall = {
       id,
       method,
-      path,
+      path: sentPath,
       bodyBytes,
       isSafe: route.isSafe,
       homeRegions: route.homeRegions,
@@ -117,6 +119,7 @@
       sentAtMs,
       completedAtMs: timer.now(),
       ...answer,
+      wasEntryFaultFree,
       wasFaultFree: !abortController.signal.aborted && this.#machine.wasFaultFreeSince(sentAtMs),
     };
     this.#cluster.recordCall(observedCall);
--- a/soak/soak_cluster.ts
+++ b/soak/soak_cluster.ts
@@ -11,6 +11,7 @@
 import { findFreePorts } from '../demo/free_ports.ts';
 import { sleep, wallNow, type RealTimer } from '../timer/mod.ts';
 import {
+  CRASHING_PATH,
   makeFinding,
   Guarantee,
   type ObservedCall,
@@ -313,6 +314,7 @@
 
   #recordRun(run: ObservedRun, machine: SoakMachine): void {
     this.runs.push(run);
+    if (run.path === CRASHING_PATH) void this.restartTarget(machine);
     if (machine.isForeign(run.targetId))
       this.findings.push(makeFinding(Guarantee.Pool, `call ${run.callId} ran at ${run.targetId}`));
     this.#machinesByCall.set(run.callId, [
--- a/tap-snapshots/dist/soak/guarantees_test.js.test.cjs
+++ b/tap-snapshots/dist/soak/guarantees_test.js.test.cjs
@@ -5,6 +5,16 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`dist/soak/guarantees_test.js > TAP > findViolations() finds each kind of violation > a call that crashes its targets 1`] = `
+Array []
+`
+
+exports[`dist/soak/guarantees_test.js > TAP > findViolations() finds each kind of violation > a call that goes on to crash its targets 1`] = `
+Array [
+  "crashing-call: 7 runs crashed their targets, 4 of them too late",
+]
+`
+
 exports[`dist/soak/guarantees_test.js > TAP > findViolations() finds each kind of violation > a call that ran and was answered 1`] = `
 Array []
 `
