--- a/entry/entry.ts
+++ b/entry/entry.ts
@@ -87,9 +87,9 @@
   router: CallRouter;
   /** @returns Version of the configuration in force. */
   getVersion: () => number;
-  /** @returns A refusal if the daemon accepts no calls now. */
   /** @returns Time until this daemon ends its open calls, in milliseconds; infinite unless it stops. */
   getTimeLeftMs: () => number;
+  /** @returns A refusal if the daemon accepts no calls now. */
   checkAdmission: () => Refusal | undefined;
 }
 
