--- a/guard/quarantine.ts
+++ b/guard/quarantine.ts
@@ -111,7 +111,7 @@
     const nowMs = this.#timer.now();
     const list = (fingerprint: string, kind: EvidenceKind, atMs: ReadonlyMap<string, number>) =>
       [...atMs].map(([id, each]): Evidence => ({ fingerprint, kind, id, ageMs: nowMs - each }));
-    const suspects = [...this.#suspects];
+    const suspects = [...this.#suspects].filter(([, suspect]) => !isProbablyHarmless(suspect));
     const answers = suspects.flatMap(([fingerprint, { answersAtMs }]) =>
       list(fingerprint, EvidenceKind.Answer, answersAtMs),
     );
@@ -315,6 +315,11 @@
   };
 }
 
+/** Whether a call was merely beside the one that crashed a target: most that are lost with a target are. */
+function isProbablyHarmless({ crashesAtMs, answersAtMs }: Suspect): boolean {
+  return crashesAtMs.size === 1 && answersAtMs.size > 0;
+}
+
 /** Returns the number of crashes that the answers do not outweigh. */
 function computeSuspicion({ crashesAtMs, answersAtMs }: Suspect): number {
   return crashesAtMs.size - answersAtMs.size / ANSWERS_PER_CRASH;
