The library for callers and the command line stop reading an answer without end

What callers saw: the library kept an answer in memory for as long as it came, up to the call's deadline: of an answer without end, with a deadline of 1 s, more than 16 MiB, and the process that uses it has to hold it. Reported by other operators for the machine that calls.

Change: a limit of 64 MiB, which an option of the library sets; the outcome of a longer answer is unknown, and it is not asked for again. The command line has the same limit.

--- a/caller/caller.ts
+++ b/caller/caller.ts
@@ -1,4 +1,4 @@
-import { request, type Dispatcher } from 'undici';
+import { Agent, errors, request, type Dispatcher } from 'undici';
 import { Outcome } from '../contract/mod.ts';
 import { HeaderName } from '../link/mod.ts';
 import { sleep, type TimerService } from '../timer/mod.ts';
@@ -8,6 +8,7 @@
 const RETRY_DELAY_MS = 20;
 /** Time for which a spare key may be used, in milliseconds; less than the lifetime of a key. */
 const SPARE_KEY_LIFETIME_MS = 300_000;
+const DEFAULT_ANSWER_LIMIT_BYTES = 67_108_864;
 
 /** A call to make. */
 export interface CallerCall {
@@ -41,6 +42,8 @@
   /** Origins of daemons, such as `http://127.0.0.1:8080`; used in turn. */
   origins: readonly string[];
   workspace: string;
+  /** Largest body of an answer, in bytes; 64 MiB by default. The outcome of a call with a larger one is unknown. */
+  answerLimitBytes?: number;
   /** Offset into the origins; the first request goes to the origin after it. Zero by default. */
   originOffset?: number;
 }
@@ -57,12 +60,15 @@
  */
 export class Caller {
   readonly #options: CallerOptions;
+  readonly #dispatcher: Agent;
   readonly #spareKeys = new Map<string, SpareKey[]>();
   #originIndex: number;
 
   /** @param options See {@linkcode CallerOptions}. */
   constructor(options: CallerOptions) {
     this.#options = options;
+    const { answerLimitBytes: maxResponseSize = DEFAULT_ANSWER_LIMIT_BYTES } = options;
+    this.#dispatcher = new Agent({ maxResponseSize });
     this.#originIndex = options.originOffset ?? 0;
   }
 
@@ -115,20 +121,25 @@
       [HeaderName.Deadline]: String(Math.max(1, Math.floor(leftMs))),
       ...(key === undefined ? {} : { [HeaderName.IdempotencyKey]: key }),
     };
+    let status = 0;
     try {
       const res = await request(`${this.#nextOrigin()}${call.path}`, {
+        dispatcher: this.#dispatcher,
         method: call.method,
         headers,
         body: call.body,
         signal: this.#makeSignal(call, leftMs),
       });
+      status = res.statusCode;
       const body = Buffer.from(await res.body.arrayBuffer());
       const outcome = parseOutcome(res.headers[HeaderName.Outcome]);
-      return { outcome, status: res.statusCode, headers: res.headers, body, requestCount };
+      return { outcome, status, headers: res.headers, body, requestCount };
     } catch (error) {
+      const isTooLarge = error instanceof errors.ResponseExceededMaxSizeError;
       const { code } = error as { code?: string };
       const outcome = code === 'ECONNREFUSED' ? Outcome.NotRun : Outcome.Unknown;
-      return { outcome, status: 0, headers: {}, body: Buffer.alloc(0), requestCount };
+      const finalStatus = isTooLarge ? status : 0;
+      return { outcome, status: finalStatus, headers: {}, body: Buffer.alloc(0), requestCount };
     }
   }
 
--- a/cli/operator_client.ts
+++ b/cli/operator_client.ts
@@ -1,7 +1,11 @@
 import { err, ok, type Result } from 'neverthrow';
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 
 const TIMEOUT_MS = 2_000;
+/** Largest answer that is read, in bytes. */
+const ANSWER_LIMIT_BYTES = 67_108_864;
+
+const dispatcher = new Agent({ maxResponseSize: ANSWER_LIMIT_BYTES });
 
 /** Reason why a daemon gave no answer. */
 export interface OperatorError {
@@ -22,6 +26,7 @@
 ): Promise<Result<unknown, OperatorError>> {
   try {
     const res = await request(`http://${address}${path}`, {
+      dispatcher,
       signal: AbortSignal.timeout(TIMEOUT_MS),
     });
     return ok(await res.body.json());
