--- a/review/6/main.ts
+++ b/review/6/main.ts
@@ -57,31 +57,38 @@
   const histories: Promise<ClientResult>[] = [];
   const views: Promise<ClientResult>[] = [];
   const agents = { history: new Agent({ keepAlive: true }), view: new Agent({ keepAlive: true }) };
+  // After two misses, the machine's clients get no new work until the daemon answers with 200 again.
+  const readiness = { misses: 0, missed: 0 };
+  const mayHaveWork = () => readiness.misses < 2;
   const sendHistories = async () => {
     for (let count = 0; now() - startMs < RUN_MS; count += 1) {
       const path = `/history/${count}`;
       const common = { id: `h${count}`, method: 'GET' as const, agent: agents.history };
-      histories.push(send(deployment, machine, { ...common, path, deadlineMs: DEADLINE_MS }));
+      if (mayHaveWork())
+        histories.push(send(deployment, machine, { ...common, path, deadlineMs: DEADLINE_MS }));
       await sleep(HISTORY_INTERVAL_MS);
     }
   };
   const sendViews = async () => {
     for (let count = 0; now() - startMs < RUN_MS; count += 1) {
       const common = { id: `v${count}`, method: 'GET' as const, agent: agents.view };
-      views.push(
-        send(deployment, machine, { ...common, path: `/view/${count}`, deadlineMs: 1_200 }),
-      );
+      const path = `/view/${count}`;
+      if (mayHaveWork())
+        views.push(send(deployment, machine, { ...common, path, deadlineMs: 1_200 }));
       await sleep(VIEW_INTERVAL_MS);
     }
   };
-  const readiness = { longestMs: 0 };
+  const checkOnce = async () => {
+    const askedMs = now();
+    const isReady = await deployment.isReady(machine);
+    readiness.misses = isReady ? 0 : readiness.misses + 1;
+    if (isReady) return;
+    readiness.missed += 1;
+    record.write(`${Math.round(askedMs - startMs)} ms: no 200 to the readiness check`);
+  };
   const checkReadiness = async () => {
     while (now() - startMs < RUN_MS) {
-      const askedMs = now();
-      const isReady = await deployment.isReady(machine);
-      if (!isReady)
-        record.write(`${Math.round(askedMs - startMs)} ms: no 200 to the readiness check`);
-      readiness.longestMs = Math.max(readiness.longestMs, now() - askedMs);
+      void checkOnce();
       await sleep(1_000);
     }
   };
@@ -104,7 +111,7 @@
   record.write(`answered 200: ${results.filter(({ status }) => status === 200).length} history`);
   record.write(`unanswered at their route's timeout: ${unansweredAtTimeout.length}`);
   record.write(`of these without a final answer ${FINAL_ANSWER_MS} ms later: ${late.length}`);
-  record.write(`longest readiness check: ${Math.round(readiness.longestMs)} ms`);
+  record.write(`readiness checks without a 200: ${readiness.missed}`);
   for (const line of pauses) record.write(`daemon's log: ${line.replace(/^time=\S+ /, '')}`);
   for (const exit of deployment.unexpectedExits) record.write(`unexpected exit: ${exit}`);
   const isBroken = late.length >= LATE_LIMIT && late.length * 2 > unansweredAtTimeout.length;
--- a/review/9/main.ts
+++ b/review/9/main.ts
@@ -1,112 +1,116 @@
-// Run by run.sh, which writes record.txt; with TROUBLE=0, the daemon gets no SIGTERM.
+/* eslint-disable no-restricted-globals, no-restricted-properties */
+// Run by run.sh, which writes record.txt; with TROUBLE=0, the other writer writes no entries.
 import { Agent } from 'node:http';
-import { Deployment, now, sleep, type BackendRun, type RouteSpec } from '../shared-2/deployment.ts';
-import { send, type ClientResult } from '../shared-2/client.ts';
+import {
+  Deployment,
+  ZONES,
+  now,
+  sleep,
+  type BackendRun,
+  type RouteSpec,
+} from '../shared-2/deployment.ts';
+import { send } from '../shared-2/client.ts';
 import { runCase, Verdict } from '../shared-2/run_case.ts';
 
-const DEADLINE_MS = 2_500;
-const GRACE_MS = 6_000;
-const ANSWER_BYTES = 1_500_000;
-const PARTS = 10;
-const PART_INTERVAL_MS = 30;
-const REQUESTS = 8;
-/** Times from the SIGTERM to the first request and between two requests, in milliseconds. */
-const FIRST_MS = 200;
-const INTERVAL_MS = 200;
-const BODY = Buffer.from('result=1-0');
-const SETTLE_MS = 5_000;
+/** Time after the acknowledgement of a configuration by which it is in force, in milliseconds. */
+const CONFIG_MS = 2_500;
+const DEADLINE_MS = 1_200;
+/** Entries of the other writer in each zone. */
+const FOREIGN_ENTRIES = 4;
+/** The watchers of a zone are chosen by a hash of the addresses, so these are fixed. */
+const NETWORK = 101;
+const MOVES = 6;
+const MOVE_INTERVAL_MS = 9_000;
+const REQUEST_INTERVAL_MS = 80;
+const SETTLE_MS = 8_000;
+const WORK_MS = 10;
 
-const ROUTES: readonly RouteSpec[] = [
-  { name: 'submit', prefix: '/submit/', kind: 'unsafe', service: 'results', timeout: '2500ms' },
-];
+function makeRoutes(service: string): RouteSpec[] {
+  return [{ name: 'view', prefix: '/view/', kind: 'safe', service, timeout: '1200ms' }];
+}
 
-interface ObservedRun {
-  count: number;
-  sentBytes: number;
-  /** Whether the connection was closed while the backend was sending its answer. */
-  wasBrokenOff: boolean;
+/** Writes entries whose service no configuration names, as another writer may. */
+function writeForeignEntries({ store }: Deployment): void {
+  for (const [index, zone] of Object.keys(ZONES).entries()) {
+    for (let count = 1; count <= FOREIGN_ENTRIES; count += 1) {
+      store.put(`servers/archive-${zone}-${count}`, {
+        service: 'archive',
+        address: `127.${NETWORK}.${index + 1}.${count}:9000`,
+        zone,
+        version: 'v1',
+        slots: 4,
+        state: 'ready',
+        cold_remaining: '0ms',
+        sequence: 1,
+        born: Date.now(),
+      });
+    }
+  }
 }
 
 await runCase(async (record, isDisrupted) => {
-  const runs = new Map<string, ObservedRun>();
+  const serviceOfRun = new Map<string, string>();
   const serve = ({ machine, id, req, res }: BackendRun) => {
     req.resume();
-    const run = { count: (runs.get(id)?.count ?? 0) + 1, sentBytes: 0, wasBrokenOff: false };
-    runs.set(id, run);
+    serviceOfRun.set(id, machine.service);
     machine.running += 1;
-    const part = Buffer.alloc(ANSWER_BYTES / PARTS, 'r');
-    const answer = async () => {
-      res.writeHead(200, { 'content-length': ANSWER_BYTES });
-      for (let sent = 0; sent < PARTS && !res.destroyed; sent += 1) {
-        res.write(part);
-        run.sentBytes += part.length;
-        await sleep(PART_INTERVAL_MS);
-      }
+    setTimeout(() => {
       machine.running -= 1;
-      if (res.destroyed) run.wasBrokenOff = true;
-      else res.end();
-    };
-    req.on('end', () => void answer());
+      res.end('complete');
+    }, WORK_MS);
   };
+  const services = ['boards', 'results'];
   const deployment = await Deployment.start({
-    machines: [
-      { service: 'ratings', zone: 'centro-a' },
-      { service: 'results', zone: 'centro-a' },
-      { service: 'results', zone: 'norte-a' },
-    ],
-    routes: ROUTES,
+    network: NETWORK,
+    machines: Object.keys(ZONES).flatMap((zone) => services.map((service) => ({ service, zone }))),
+    routes: makeRoutes('boards'),
     handler: serve,
+    prepare: (prepared) => {
+      if (isDisrupted) writeForeignEntries(prepared);
+    },
   });
-  const [machine] = deployment.machines;
-  if (!machine) return Verdict.CouldNotRun;
+  record.write(`entries of another writer: ${isDisrupted ? FOREIGN_ENTRIES : 0} in each zone`);
   await sleep(SETTLE_MS);
 
-  const startMs = now();
-  let sigtermAtMs = Infinity;
-  const stop = async () => {
-    if (!isDisrupted) return;
-    sigtermAtMs = now();
-    await deployment.terminate(machine);
-    record.write(`SIGTERM at 0 ms, exit at ${Math.round(now() - startMs)} ms`);
-  };
-  const stopped = stop();
-  await sleep(FIRST_MS);
   const agent = new Agent({ keepAlive: true });
-  const pending: Promise<ClientResult>[] = [];
-  for (let count = 1; count <= REQUESTS; count += 1) {
-    const id = `s${count}`;
-    const body = {
-      bytes: BODY.length,
-      write: (sendPart: (part: Buffer) => Promise<void>) => sendPart(BODY),
+  const total = { sent: 0, answered: 0, late: 0 };
+  for (let move = 0; move < MOVES; move += 1) {
+    const [from = '', to = ''] = move % 2 === 0 ? services : [...services].reverse();
+    deployment.publish(makeRoutes(to));
+    const acknowledgedMs = now();
+    const machinesWithLate = new Set<string>();
+    const outdated = { late: 0, lastMs: 0 };
+    const callFrom = async (machine: Deployment['machines'][number]) => {
+      for (let count = 0; now() - acknowledgedMs < MOVE_INTERVAL_MS; count += 1) {
+        const id = `m${move}-${machine.backendId}-${count}`;
+        const path = `/view/${id}`;
+        const common = { id, path, method: 'GET' as const, agent, deadlineMs: DEADLINE_MS };
+        const { status, sentAtMs } = await send(deployment, machine, common);
+        total.sent += 1;
+        if (status === 200) total.answered += 1;
+        const sentMs = sentAtMs - acknowledgedMs;
+        if (serviceOfRun.get(id) === from) {
+          outdated.lastMs = Math.max(outdated.lastMs, sentMs);
+          if (sentMs > CONFIG_MS) {
+            outdated.late += 1;
+            machinesWithLate.add(machine.ip);
+          }
+        }
+        await sleep(REQUEST_INTERVAL_MS);
+      }
     };
-    const path = `/submit/${count}`;
-    const common = { method: 'POST' as const, agent, deadlineMs: DEADLINE_MS };
-    pending.push(send(deployment, machine, { ...common, id, path, body }));
-    await sleep(INTERVAL_MS);
-  }
-  const results = await Promise.all(pending);
-  await stopped;
-  await deployment.close();
-
-  let replaced = 0;
-  let replacedAfterSigterm = 0;
-  for (const seen of results) {
-    const run = runs.get(seen.id);
-    const isOwnAnswer = seen.status !== undefined && !seen.isSigned;
-    const isAfterSigterm =
-      seen.sentAtMs >= sigtermAtMs && seen.sentAtMs <= sigtermAtMs + GRACE_MS + 1_000;
-    const isReplaced = run?.wasBrokenOff === true && isOwnAnswer && !seen.hasGivenUp;
-    if (isReplaced && isAfterSigterm) replacedAfterSigterm += 1;
-    if (isReplaced) replaced += 1;
+    await Promise.all(deployment.machines.map(callFrom));
+    total.late += outdated.late;
     record.write(
-      `${seen.id}: sent at ${Math.round(seen.sentAtMs - startMs)} ms, status ${seen.status ?? 'none'}, ` +
-        `${seen.isSigned ? 'signed' : 'unsigned'}, after ${Math.round(seen.elapsedMs)} ms; ` +
-        `runs ${run?.count ?? 0}, ${run?.sentBytes ?? 0} of ${ANSWER_BYTES} bytes sent` +
-        (run?.wasBrokenOff ? ', broken off' : ''),
+      `route moved from ${from} to ${to}: last run by ${from} was sent ` +
+        `${Math.round(outdated.lastMs)} ms after the acknowledgement; ` +
+        `${outdated.late} sent later than ${CONFIG_MS} ms, at ${machinesWithLate.size} machines`,
     );
   }
+  await deployment.close();
   for (const exit of deployment.unexpectedExits) record.write(`unexpected exit: ${exit}`);
-  record.write(`broken off at work and answered by the daemon itself: ${replaced} of ${REQUESTS}`);
-  record.write(`of these after a SIGTERM, until 1 s after the grace: ${replacedAfterSigterm}`);
-  return replacedAfterSigterm > 0 ? Verdict.Broken : Verdict.Held;
+  record.write(`sent: ${total.sent}, answered 200: ${total.answered}`);
+  record.write(`run by the old service although sent too late for it: ${total.late}`);
+  if (total.answered === 0) return Verdict.CouldNotRun;
+  return total.late > 0 ? Verdict.Broken : Verdict.Held;
 });
