--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,7 +19,7 @@
       '.tap/',
       'tap-snapshots/',
       'eslint.config.js',
-      'tooling/bundle.js',
+      'tooling/*.{js,cjs}',
     ],
   },
   ...tseslint.configs.strictTypeChecked,
--- a/tooling/bundle.js
+++ b/tooling/bundle.js
@@ -1,6 +1,7 @@
 import { writeFileSync } from 'node:fs';
 import { spawnSync } from 'node:child_process';
 import { build } from 'esbuild';
+import { BUNDLE_OPTIONS } from './bundle_options.js';
 
 /** The daemon in one file, which loads several times faster than its modules. */
 const BUNDLE = 'target/daemon.cjs';
@@ -26,20 +27,7 @@
 if (isWarmUp) writeFileSync(cacheFile, script.createCachedData());
 `;
 
-await build({
-  entryPoints: ['daemon/main.ts'],
-  outfile: BUNDLE,
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  // The CommonJS build of one dependency requires its own modules by computed names.
-  mainFields: ['module', 'main'],
-  minifySyntax: true,
-  minifyWhitespace: true,
-  legalComments: 'none',
-  logLevel: 'warning',
-});
+await build({ ...BUNDLE_OPTIONS, entryPoints: ['daemon/main.ts'], outfile: BUNDLE });
 writeFileSync(PROGRAM, loader);
 // The engine accepts a code cache only under the options that it was created with.
 const { status } = spawnSync(process.execPath, [...ENGINE_OPTIONS, PROGRAM, '--write-code-cache'], {
