A change is in force in time also where both watchers of a domain are away

Cause: the two were chosen by a hash over the list, and a follower took an opened link for a watcher at work. It read the platform itself only after 3 s without a link, and then every 5 s. Crash reports went to the same two and to nobody else, and a daemon that starts asked the first three instances of its list. An entry of another writer is one way to have a watcher that does not watch; a daemon that has ended and is still listed, is suspended, is cut off or has a silent link, or is turned away by the platform is another, and no look at the entry tells them.

Change: a watcher counts as one only while it confirms, each time the platform has answered for both documents (every 1.3 s), that the documents in force are current. A daemon without a confirmation for 1.7 s reads the platform itself, the next two by rank first; if the platform answers, these watch from then on, and stop when two of better rank confirm again. The frame is the one that stated versions, so that a daemon of the build before is understood in a roll. A crash report goes on by rank until two daemons of each domain have answered a ping, with the age of its evidence at that time, and is repeated to a new follower. A daemon that starts goes on until three peers are reached. Two concurrent checks of a link no longer take the other's answer away.

Weighed: to leave out entries of unknown pools (leaves all the other ways); each daemon reads for itself (24 at once here, 257 in a domain at the size aimed at).

--- a/daemon/control_frame_handler.ts
+++ b/daemon/control_frame_handler.ts
@@ -54,6 +54,10 @@
         view.versionTracker.recordKnown(frame.configuration);
         getDistributor().handleFrame(link, frame);
         break;
+      case FrameKind.Subscribe:
+        if (frame.follow) crashReports.repeatTo(link);
+        getDistributor().handleFrame(link, frame);
+        break;
       default:
         getDistributor().handleFrame(link, frame);
     }
--- a/daemon/daemon.ts
+++ b/daemon/daemon.ts
@@ -18,7 +18,7 @@
 import type { Configuration, DocumentSource } from '../configuration/mod.ts';
 import { SeededRandom } from '../random/mod.ts';
 import { reloadSettings, type Settings } from '../settings/mod.ts';
-import { CrashReports, DocumentDistributor } from '../distribution/mod.ts';
+import { CrashReports, DocumentDistributor, WatcherRoster } from '../distribution/mod.ts';
 import { Guard, Quarantine, type TargetPort } from '../guard/mod.ts';
 import { PauseDetector, sleep, type Subscription, type TimerService } from '../timer/mod.ts';
 import { handOverKeys, type HandoverResult } from './hand_over_keys.ts';
@@ -73,6 +73,7 @@
   readonly #view: ClusterView;
   readonly #targetViews: TargetViews;
   readonly #quarantine: Quarantine;
+  readonly #roster: WatcherRoster;
   readonly #crashReports: CrashReports;
   readonly #pauseDetector: PauseDetector;
   readonly #pruneTimer: Subscription;
@@ -121,12 +122,16 @@
         return this.#view.checkAttempt(attempt, phase);
       },
     });
+    const place = { instanceId: instance.id, failureDomain: instance.failureDomain };
+    const getFleet = () => this.#view.fleet;
+    this.#roster = new WatcherRoster({ ...place, timer, getFleet });
     this.#crashReports = new CrashReports({
+      ...place,
+      timer,
       quarantine: this.#quarantine,
       incarnation: this.incarnation,
-      instanceId: instance.id,
-      failureDomain: instance.failureDomain,
-      getFleet: () => this.#view.fleet,
+      getFleet,
+      roster: this.#roster,
       getFollowers: () => this.distributor.followers,
       openLink: (watcher) => this.#openLink(watcher),
     });
@@ -150,14 +155,14 @@
     });
     this.entry = this.#makeEntry(random, metrics);
     this.distributor = new DocumentDistributor({
+      ...place,
       timer,
       log,
       random,
       store: this.#view.store,
       platform: options.platform,
-      instanceId: instance.id,
-      failureDomain: instance.failureDomain,
-      getFleet: () => this.#view.fleet,
+      getFleet,
+      roster: this.#roster,
       openLink: (watcher) => this.#openLink(watcher),
     });
     this.#versionSync = new VersionSync({
@@ -204,7 +209,7 @@
       linkBytesReceived: linkBytes.reduce((sum, { received }) => sum + received, 0),
       keptBytes: this.owner.keptBytes,
       suspectedCalls: this.#quarantine.suspectCount,
-      isWatcher: this.distributor.isWatcher,
+      isWatcher: this.#roster.isWatcher,
       platformReads: this.distributor.platformReads,
     };
   }
--- a/daemon/version_sync.ts
+++ b/daemon/version_sync.ts
@@ -8,6 +8,8 @@
 const PEER_UPDATE_WAIT_MS = 300;
 /** Number of peers from which a starting or resuming daemon requests updates. */
 const MAX_PEERS_ASKED = 3;
+/** Largest number of peers that are tried to reach so many. */
+const MAX_PEERS_TRIED = 15;
 const RETRY_DELAY_MS = 200;
 
 /** Options of {@linkcode VersionSync}. */
@@ -70,18 +72,31 @@
 
   async #askPeers(): Promise<void> {
     const { timer, distributor, signal, openLink } = this.#options;
-    const links = await Promise.all(this.#selectPeers().map(openLink));
-    const openLinks = links.filter((each) => each !== undefined);
+    const openLinks = await this.#openLinks(openLink);
     for (const each of openLinks) distributor.requestUpdates(each);
     if (openLinks.length > 0) await sleep(timer, PEER_UPDATE_WAIT_MS, { signal });
   }
 
-  #selectPeers(): Instance[] {
+  /** Opens links to the first peers that can be reached. */
+  async #openLinks(openLink: VersionSyncOptions['openLink']): Promise<PeerLink[]> {
+    const peers = this.#listPeers().slice(0, MAX_PEERS_TRIED);
+    const opened: PeerLink[] = [];
+    for (let next = 0; next < peers.length && opened.length < MAX_PEERS_ASKED;) {
+      const group = peers.slice(next, next + MAX_PEERS_ASKED - opened.length);
+      next += group.length;
+      const links = await Promise.all(group.map(openLink));
+      opened.push(...links.filter((each) => each !== undefined));
+    }
+    return opened;
+  }
+
+  /** Lists the other instances, those of this failure domain first. */
+  #listPeers(): Instance[] {
     const { view, instance } = this.#options;
     const others = view.fleet.instances.filter(({ id }) => id !== instance.id);
     const isNear = ({ failureDomain }: Instance) => failureDomain === instance.failureDomain;
     const near = others.filter(isNear);
     const far = others.filter((each) => !isNear(each));
-    return [...near, ...far].slice(0, MAX_PEERS_ASKED);
+    return [...near, ...far];
   }
 }
--- a/distribution/document_distributor.ts
+++ b/distribution/document_distributor.ts
@@ -1,23 +1,34 @@
 import { Event, type EventLog } from '../event_log/mod.ts';
 import type { Fleet, Instance } from '../instance/mod.ts';
-import { FrameKind, type DocumentFrame, type Frame, type PeerLink } from '../link/mod.ts';
+import {
+  FrameKind,
+  type DocumentFrame,
+  type Frame,
+  type PeerLink,
+  type SubscribeFrame,
+  type VersionsFrame,
+} from '../link/mod.ts';
 import {
   DocumentKind,
   OfferResult,
-  selectWatchers,
+  rankWatchers,
   type DocumentStore,
   type OfferedDocument,
   type DocumentSource,
 } from '../configuration/mod.ts';
 import type { RandomSource } from '../random/mod.ts';
 import { sleep, type TimerService } from '../timer/mod.ts';
+import { DOCUMENT_KINDS, PlatformReader } from './platform_reader.ts';
 import { needsReconciliation, reconcileWithPeer } from './reconcile_with_peer.ts';
+import { CONFIRMATION_LIFETIME_MS, WatcherRoster } from './watcher_roster.ts';
 
+/** Longest wait for the first version of a document, in milliseconds. */
+const FIRST_VERSION_WAIT_MS = 3_000;
 /**
- * Longest wait of one watch of the platform, in milliseconds. Limits the time for
- * which a connection that no longer delivers anything hides changes.
+ * Interval at which the watches of the platform end if nothing changes, in milliseconds. Both documents
+ * are watched in step, so that a watcher can confirm both at once.
  */
-const WATCH_WAIT_MS = 3_000;
+const WATCH_PERIOD_MS = 1_300;
 /** Pause between two watches, in milliseconds; changes in quick succession cost one read. */
 const WATCH_GAP_MS = 100;
 /**
@@ -29,14 +40,21 @@
 const LINK_CHECK_PERIOD_MS = 1_000;
 /** Time without a frame after which a link to a watcher is verified, in milliseconds. */
 const MAX_LINK_SILENCE_MS = 1_000;
-/** Time without a link to a watcher after which a follower reads the platform, in milliseconds. */
-const WATCHERLESS_LIMIT_MS = 3_000;
-const WATCHERLESS_READ_PERIOD_MS = 5_000;
+/**
+ * Time by which the deputies of silent watchers read the platform before the other daemons, in
+ * milliseconds; a random delay is added.
+ */
+const DEPUTY_HEAD_START_MS = 250;
+/** Age up to which an answer of the platform is confirmed to a daemon that starts to follow, in milliseconds. */
+const FRESH_ANSWER_MS = 300;
+/** Largest number of daemons in a failure domain that are tried when the domain is asked for updates. */
+const MAX_PEERS_TRIED = 8;
 /** Shortest interval between two reactions to the versions of a peer, in milliseconds. */
 const REACTION_PERIOD_MS = 100;
 /** Version by which a daemon with an unconfirmed document asks for any confirmed one; below all others. */
 const UNCONFIRMED_VERSION = 1;
-const DOCUMENT_KINDS = [DocumentKind.Configuration, DocumentKind.Fleet] as const;
+/** In a {@linkcode VersionsFrame}: nothing is said of the document. */
+const UNSTATED_VERSION = 0;
 
 /** Options of {@linkcode DocumentDistributor}. */
 export interface DocumentDistributorOptions {
@@ -45,9 +63,9 @@
   random: RandomSource;
   store: DocumentStore;
   platform: DocumentSource;
-  instanceId: string;
   failureDomain: string;
   getFleet: () => Fleet;
+  roster: WatcherRoster;
   /**
    * Returns an open link to a watcher; opens one if there is none.
    *
@@ -63,42 +81,43 @@
 }
 
 /**
- * Distributes the platform's documents to all daemons. A few daemons in each
- * failure domain watch the platform; the others follow these watchers over links.
+ * Distributes the platform's documents to all daemons. A few daemons in each failure domain watch the
+ * platform; the others follow these watchers over links. A watcher confirms to its followers that their
+ * documents are current each time the platform has answered so, and a follower without a confirmation
+ * reads the platform itself.
  */
 export class DocumentDistributor {
   readonly #options: DocumentDistributorOptions;
+  readonly #reader: PlatformReader;
   readonly #followers = new Map<PeerLink, Follower>();
   readonly #followedLinks = new Set<PeerLink>();
   readonly #reactedAtMs = new WeakMap<PeerLink, number>();
   readonly #stop = new AbortController();
-  #lastLinkedMs: number;
-  readonly #lastReadMs: Record<DocumentKind, number> = {
-    [DocumentKind.Configuration]: -Infinity,
-    [DocumentKind.Fleet]: -Infinity,
-  };
-  /** Whether the last read of each document failed. */
-  readonly #isReadFailing: Record<DocumentKind, boolean> = {
-    [DocumentKind.Configuration]: false,
-    [DocumentKind.Fleet]: false,
-  };
-  #platformReads = 0;
-  #selected: { fleet: Fleet; watchers: Instance[] } | undefined;
+  /** Aborted to end the waits of the tasks that watch the platform. */
+  #promotion = new AbortController();
+  /** Time at which a watcher, or the platform itself, last confirmed the documents in force. */
+  #confirmedAtMs: number;
+  /** Time at which the platform last answered that the documents in force are current. */
+  #answeredAtMs = -Infinity;
 
   /** @param options See {@linkcode DocumentDistributorOptions}. */
   constructor(options: DocumentDistributorOptions) {
     this.#options = options;
-    this.#lastLinkedMs = options.timer.now();
+    this.#confirmedAtMs = options.timer.now();
+    this.#reader = new PlatformReader({
+      ...options,
+      offer: (offered) => {
+        this.#offer(offered);
+      },
+      onCurrent: () => {
+        this.#confirm();
+      },
+    });
   }
 
   /** @returns Number of reads and watches of the platform since the start. */
   get platformReads(): number {
-    return this.#platformReads;
-  }
-
-  /** @returns Whether this daemon watches the platform for its failure domain. */
-  get isWatcher(): boolean {
-    return this.#getWatchers().some(({ id }) => id === this.#options.instanceId);
+    return this.#reader.reads;
   }
 
   /** @returns Open links to the daemons that follow this one. */
@@ -106,10 +125,12 @@
     return [...this.#followers.keys()].filter(({ isOpen }) => isOpen);
   }
 
-  /** Starts one task for each document and one for the links to the watchers. */
+  /** Starts one task for each document, one for the links to the watchers, and one to replace these. */
   start(): void {
+    this.#confirmedAtMs = this.#options.timer.now();
     for (const kind of DOCUMENT_KINDS) void this.#watch(kind);
     void this.#follow();
+    void this.#replaceSilentWatchers();
   }
 
   /** Stops all tasks. */
@@ -122,9 +143,8 @@
    *
    * @returns Whether the platform answered both reads.
    */
-  async readOnce(): Promise<boolean> {
-    const reads = await Promise.all(DOCUMENT_KINDS.map((kind) => this.#read(kind, 0)));
-    return reads.every(Boolean);
+  readOnce(): Promise<boolean> {
+    return this.#reader.readBoth();
   }
 
   /**
@@ -135,7 +155,9 @@
   async waitForMissing(): Promise<boolean> {
     const { store } = this.#options;
     const missing = DOCUMENT_KINDS.filter((kind) => store.versionOf(kind) === 0);
-    const reads = await Promise.all(missing.map((kind) => this.#read(kind, WATCH_WAIT_MS)));
+    const reads = await Promise.all(
+      missing.map((kind) => this.#reader.read(kind, FIRST_VERSION_WAIT_MS)),
+    );
     return reads.every(Boolean);
   }
 
@@ -157,26 +179,19 @@
    */
   handleFrame(link: PeerLink, frame: Frame): void {
     switch (frame.kind) {
-      case FrameKind.Subscribe: {
-        const sentVersions = {
-          [DocumentKind.Configuration]: frame.configuration,
-          [DocumentKind.Fleet]: frame.fleet,
-        };
-        if (frame.follow) this.#followers.set(link, { sentVersions });
-        this.#sendUpdates(link, { sentVersions });
-        this.#sendVersions(link);
-        // A watcher that has restarted may know less than its followers.
-        if (this.#isBehind(frame.configuration, frame.fleet) && this.#mayReact(link))
-          this.requestUpdates(link);
+      case FrameKind.Subscribe:
+        this.#acceptSubscription(link, frame);
         break;
-      }
       case FrameKind.Document:
         if (needsReconciliation(frame, this.#options.store)) void this.#reconcile(frame);
         else this.#offer(frame, link);
         break;
       case FrameKind.Versions:
-        if (this.#isBehind(frame.configuration, frame.fleet) && this.#mayReact(link)) {
-          this.requestUpdates(link);
+        if (this.#isBehind(frame.configuration, frame.fleet)) {
+          if (this.#mayReact(link)) this.requestUpdates(link);
+        } else if (this.#isConfirmation(frame) && this.#followedLinks.has(link)) {
+          this.#confirmedAtMs = this.#options.timer.now();
+          this.#options.roster.recordConfirmation(link.peer.instanceId);
         }
         break;
       default:
@@ -207,57 +222,40 @@
   }
 
   async #watch(kind: DocumentKind): Promise<void> {
+    const { timer, random } = this.#options;
     const { signal } = this.#stop;
     while (!signal.aborted) {
-      if (this.isWatcher || this.#isFleetEmpty) {
-        const startMs = this.#options.timer.now();
-        const isAnswered = await this.#read(kind, WATCH_WAIT_MS);
-        const elapsedMs = this.#options.timer.now() - startMs;
-        if (isAnswered) await this.#sleepWithJitter(WATCH_GAP_MS);
-        else if (elapsedMs < RETRY_INTERVAL_MS) await this.#sleepWithJitter(RETRY_INTERVAL_MS);
-      } else {
-        await this.#sleepWithJitter(LINK_CHECK_PERIOD_MS);
-        if (this.#shouldReadWithoutWatcher(kind)) await this.#read(kind, 0);
+      if (!this.#isWatching) {
+        const delayMs = LINK_CHECK_PERIOD_MS + random.below(LINK_CHECK_PERIOD_MS);
+        await sleep(timer, delayMs, { signal: AbortSignal.any([signal, this.#promotion.signal]) });
+        continue;
       }
+      const startMs = timer.now();
+      const isAnswered = await this.#reader.read(kind, this.#watchLeftMs);
+      const elapsedMs = timer.now() - startMs;
+      if (isAnswered) await this.#sleepWithJitter(WATCH_GAP_MS);
+      else if (elapsedMs < RETRY_INTERVAL_MS) await this.#sleepWithJitter(RETRY_INTERVAL_MS);
     }
   }
 
-  /** Whether no instance is known yet. There is no watcher then, so that every daemon watches. */
-  get #isFleetEmpty(): boolean {
-    return this.#options.getFleet().size === 0;
+  /** Whether this daemon watches the platform; all daemons do while no instance is known. */
+  get #isWatching(): boolean {
+    return this.#options.getFleet().size === 0 || this.#options.roster.isWatcher;
   }
 
-  #shouldReadWithoutWatcher(kind: DocumentKind): boolean {
-    if (this.isWatcher) return false;
-    const nowMs = this.#options.timer.now();
-    if (nowMs - this.#lastLinkedMs < WATCHERLESS_LIMIT_MS) return false;
-    return nowMs - this.#lastReadMs[kind] >= WATCHERLESS_READ_PERIOD_MS;
-  }
-
-  async #read(document: DocumentKind, waitMs: number): Promise<boolean> {
-    const { platform, store, log } = this.#options;
-    this.#platformReads += 1;
-    this.#lastReadMs[document] = this.#options.timer.now();
-    const afterVersion = store.versionOf(document);
-    const { inForce } = store;
-    const isUnconfirmed = store.isUnconfirmed(document);
-    const read = await platform.read({ document, afterVersion, isUnconfirmed, inForce, waitMs });
-    this.#isReadFailing[document] = read.isErr();
-    if (read.isErr()) {
-      log.write(Event.PlatformUnreachable, { document, detail: read.error.detail });
-      return false;
-    }
-    if (read.value) this.#offer({ document, base: 0, baseDigest: '', ...read.value });
-    return true;
+  /** Time until the watches of both documents end, in milliseconds. */
+  get #watchLeftMs(): number {
+    return WATCH_PERIOD_MS - (this.#options.timer.now() % WATCH_PERIOD_MS);
   }
 
   async #follow(): Promise<void> {
-    const { instanceId, timer } = this.#options;
+    const { timer, roster } = this.#options;
     const { signal } = this.#stop;
     for (let round = 0; !signal.aborted; round += 1) {
-      const others = this.#getWatchers().filter(({ id }) => id !== instanceId);
-      for (const watcher of others) await this.#followWatcher(watcher);
-      if (this.isWatcher && this.#cannotReadPlatform) await this.#askOtherDomains();
+      roster.prune();
+      await this.#followAll(roster.watchers);
+      if (this.#reader.isFailing && (roster.isWatcher || !this.#isConfirmed))
+        await this.#askOtherDomains();
       this.#removeClosedLinks();
       const links = [...this.#followedLinks];
       // One link in each round is enough, as a working link to one watcher brings all updates.
@@ -266,41 +264,99 @@
     }
   }
 
+  async #followAll(watchers: readonly Instance[]): Promise<void> {
+    await Promise.all(watchers.map((watcher) => this.#followWatcher(watcher)));
+  }
+
   async #followWatcher(watcher: Instance): Promise<void> {
     const link = await this.#options.openLink(watcher);
-    if (!link) return;
-    this.#lastLinkedMs = this.#options.timer.now();
-    if (this.#followedLinks.has(link)) return;
+    if (!link || this.#followedLinks.has(link)) return;
     this.#followedLinks.add(link);
     this.requestUpdates(link, true);
   }
 
-  get #cannotReadPlatform(): boolean {
-    return DOCUMENT_KINDS.some((kind) => this.#isReadFailing[kind]);
+  /** Whether the documents in force were current a short time ago. */
+  get #isConfirmed(): boolean {
+    return this.#options.timer.now() - this.#confirmedAtMs < CONFIRMATION_LIFETIME_MS;
+  }
+
+  /** Waits until confirmations are missing, and then reads the platform in place of the watchers. */
+  async #replaceSilentWatchers(): Promise<void> {
+    const { timer } = this.#options;
+    const { signal } = this.#stop;
+    while (!signal.aborted) {
+      const leftMs = this.#confirmedAtMs + CONFIRMATION_LIFETIME_MS - timer.now();
+      if (leftMs > 0) await sleep(timer, leftMs, { signal });
+      else await this.#readForWatchers();
+    }
   }
 
-  /** Requests updates from a watcher of each other failure domain; the platform may serve it. */
+  async #readForWatchers(): Promise<void> {
+    const { timer, log, roster } = this.#options;
+    const silentMs = Math.round(timer.now() - this.#confirmedAtMs);
+    const watchers = roster.watchers.map(({ id }) => id).join(',');
+    log.write(Event.WatchersSilent, { silentMs, watchers });
+    if (!roster.isDeputy) {
+      void this.#followAll(roster.deputies);
+      await this.#sleepWithJitter(DEPUTY_HEAD_START_MS);
+      if (this.#isConfirmed) return;
+    }
+    // A watcher whose reads fail repeats them already.
+    const isRetrying = roster.isWatcher && this.#reader.isFailing;
+    if (isRetrying || !(await this.#reader.readBoth())) {
+      await this.#sleepWithJitter(CONFIRMATION_LIFETIME_MS);
+      return;
+    }
+    this.#confirmedAtMs = timer.now();
+    if (roster.isWatcher) return;
+    // The platform answers, so the watchers are at fault.
+    if (roster.replaceWatchers()) this.#startWatching();
+  }
+
+  #startWatching(): void {
+    this.#options.log.write(Event.WatchTakenOver, {});
+    this.#promotion.abort();
+    this.#promotion = new AbortController();
+  }
+
+  /** Records that the documents in force are current, and confirms it to the followers. */
+  #confirm(): void {
+    this.#answeredAtMs = this.#options.timer.now();
+    this.#confirmedAtMs = this.#answeredAtMs;
+    for (const link of this.followers) this.#sendConfirmation(link);
+  }
+
+  #sendConfirmation(link: PeerLink): void {
+    link.sendFrame({ kind: FrameKind.Versions, ...this.#getVersions() });
+  }
+
+  /** Whether a frame confirms that the documents in force here are current. */
+  #isConfirmation({ configuration, fleet }: VersionsFrame): boolean {
+    const own = this.#getVersions();
+    return (
+      configuration === own[DocumentKind.Configuration] &&
+      fleet === own[DocumentKind.Fleet] &&
+      configuration !== UNSTATED_VERSION &&
+      fleet !== UNSTATED_VERSION
+    );
+  }
+
+  /** Requests updates from a daemon of each other failure domain; the platform may serve it. */
   async #askOtherDomains(): Promise<void> {
-    const { getFleet, failureDomain, openLink } = this.#options;
+    const { getFleet, failureDomain } = this.#options;
     const fleet = getFleet();
     const domains = new Set(fleet.instances.map((each) => each.failureDomain));
     domains.delete(failureDomain);
-    const watchers = [...domains].flatMap((domain) => selectWatchers(fleet, domain).slice(0, 1));
-    await Promise.all(
-      watchers.map(async (watcher) => {
-        const link = await openLink(watcher);
-        if (link && (await link.verify(MAX_LINK_SILENCE_MS))) this.requestUpdates(link);
-      }),
-    );
+    await Promise.all([...domains].map((domain) => this.#askDomain(rankWatchers(fleet, domain))));
   }
 
-  /** Returns the watchers of this daemon's failure domain, selected once for each fleet. */
-  #getWatchers(): Instance[] {
-    const fleet = this.#options.getFleet();
-    if (this.#selected?.fleet !== fleet) {
-      this.#selected = { fleet, watchers: selectWatchers(fleet, this.#options.failureDomain) };
+  async #askDomain(ranked: readonly Instance[]): Promise<void> {
+    for (const instance of ranked.slice(0, MAX_PEERS_TRIED)) {
+      const link = await this.#options.openLink(instance);
+      if (!link || !(await link.verify(MAX_LINK_SILENCE_MS))) continue;
+      this.requestUpdates(link);
+      return;
     }
-    return this.#selected.watchers;
   }
 
   #offer(offered: OfferedDocument | DocumentFrame, from?: PeerLink): void {
@@ -354,8 +410,29 @@
     }
   }
 
+  #acceptSubscription(link: PeerLink, { follow, configuration, fleet }: SubscribeFrame): void {
+    const sentVersions = {
+      [DocumentKind.Configuration]: configuration,
+      [DocumentKind.Fleet]: fleet,
+    };
+    if (follow) this.#followers.set(link, { sentVersions });
+    this.#sendUpdates(link, { sentVersions });
+    this.#sendVersions(link);
+    const answerAgeMs = this.#options.timer.now() - this.#answeredAtMs;
+    if (follow && answerAgeMs <= FRESH_ANSWER_MS) this.#sendConfirmation(link);
+    // A watcher that has restarted may know less than its followers.
+    if (this.#isBehind(configuration, fleet) && this.#mayReact(link)) this.requestUpdates(link);
+  }
+
+  /** States the versions in force in a frame each, which confirms none of them. */
   #sendVersions(link: PeerLink): void {
-    link.sendFrame({ kind: FrameKind.Versions, ...this.#getVersions() });
+    const versions = this.#getVersions();
+    const unstated = {
+      [DocumentKind.Configuration]: UNSTATED_VERSION,
+      [DocumentKind.Fleet]: UNSTATED_VERSION,
+    };
+    for (const kind of DOCUMENT_KINDS)
+      link.sendFrame({ kind: FrameKind.Versions, ...unstated, [kind]: versions[kind] });
   }
 
   /** Requests the complete document, because a patch does not apply to the one in force here. */
--- a/event_log/event.ts
+++ b/event_log/event.ts
@@ -19,6 +19,9 @@
   LinkRejected = 'link-rejected',
   ConfigurationApplied = 'configuration-applied',
   ConfigurationRejected = 'configuration-rejected',
+  /** No watcher has confirmed for a while that the documents in force are current. */
+  WatchersSilent = 'watchers-silent',
+  WatchTakenOver = 'watch-taken-over',
   PlatformUnreachable = 'platform-unreachable',
   PlatformRestored = 'platform-restored',
   PlatformOutdated = 'platform-outdated',
--- a/fakes/in_process_cluster.ts
+++ b/fakes/in_process_cluster.ts
@@ -300,7 +300,10 @@
       timer: clock,
       log: log satisfies EventLog,
       dialer: makeStoppableDialer(this.network.makeDialer(instance.peerAddress), ended.signal),
-      platform: new WithholdingSource(this.platform, () => this.#getReadPolicy(instance.id)),
+      platform: new WithholdingSource(this.platform, {
+        getPolicy: () => this.#getReadPolicy(instance.id),
+        whenRunning: () => clock.whenRunning(),
+      }),
       target: makeStoppableTarget(targetPort, ended.signal, clock),
       addressReuseMs: this.#options.addressReuseMs ?? Infinity,
       incarnation: `run-${this.#incarnations}`,
--- a/fakes/withholding_source.ts
+++ b/fakes/withholding_source.ts
@@ -18,25 +18,34 @@
   Refuse = 'refuse',
 }
 
+/** Options of {@linkcode WithholdingSource}. */
+export interface WithholdingSourceOptions {
+  /** @returns How the daemon's reads are treated now. */
+  getPolicy: () => ReadPolicy;
+  /** Waits until the daemon's process is not paused. */
+  whenRunning: () => Promise<void>;
+}
+
 /** Source that can withhold the platform's documents from one daemon, or refuse its reads. */
 export class WithholdingSource implements DocumentSource {
   readonly isLinearizable: boolean;
   readonly #source: DocumentSource;
-  readonly #getPolicy: () => ReadPolicy;
+  readonly #options: WithholdingSourceOptions;
 
   /**
    * @param source The platform.
-   * @param getPolicy Returns how the daemon's reads are treated now.
+   * @param options See {@linkcode WithholdingSourceOptions}.
    */
-  constructor(source: DocumentSource, getPolicy: () => ReadPolicy) {
+  constructor(source: DocumentSource, options: WithholdingSourceOptions) {
     this.isLinearizable = source.isLinearizable;
     this.#source = source;
-    this.#getPolicy = getPolicy;
+    this.#options = options;
   }
 
   async read(req: ReadRequest): Promise<Result<PublishedDocument | undefined, SourceError>> {
     const read = await this.#source.read(req);
-    switch (this.#getPolicy()) {
+    await this.#options.whenRunning();
+    switch (this.#options.getPolicy()) {
       case ReadPolicy.Serve:
         return read;
       case ReadPolicy.Withhold:
--- a/link/frame.ts
+++ b/link/frame.ts
@@ -153,6 +153,10 @@
   kind: FrameKind.Pong;
 }
 
+/**
+ * Versions of the documents in force at the sender; zero for a document of which nothing is said. A
+ * frame that states both confirms them: the platform has just answered that they are current.
+ */
 export interface VersionsFrame {
   kind: FrameKind.Versions;
   configuration: number;
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -122,7 +122,7 @@
   #lastSentMs: number;
   #isOpen = true;
   /** Called with the next received frame. */
-  #onReceived: (() => void) | undefined;
+  readonly #onReceived = new Set<() => void>();
 
   /** @param options See {@linkcode PeerLinkOptions}. */
   constructor(options: PeerLinkOptions) {
@@ -175,7 +175,7 @@
       }
       this.#lastReceivedMs = this.#services.timer.now();
       this.#stallDetector.recordReceived();
-      this.#onReceived?.();
+      for (const notify of this.#onReceived) notify();
       this.#handleFrame(received.value);
     }
     this.terminate();
@@ -211,21 +211,24 @@
    * Checks that the peer still answers if nothing was received for a while. Terminates the link
    * otherwise.
    *
-   * @param maxSilenceMs Time without a received frame after which the peer is pinged, and for which
-   * its answer is awaited, in milliseconds.
+   * @param maxSilenceMs Time without a received frame after which the peer is pinged, in milliseconds.
+   * @param timeoutMs Time for which the peer's answer is awaited, in milliseconds; the same by default.
    * @returns Whether the link is open and the peer answers.
    */
-  async verify(maxSilenceMs: number): Promise<boolean> {
+  async verify(maxSilenceMs: number, timeoutMs = maxSilenceMs): Promise<boolean> {
     const { timer } = this.#services;
-    const pingedAtMs = timer.now();
-    if (pingedAtMs - this.#lastReceivedMs < maxSilenceMs) return this.#isOpen;
+    if (timer.now() - this.#lastReceivedMs < maxSilenceMs) return this.#isOpen;
     this.sendFrame({ kind: FrameKind.Ping });
-    const answered = new Promise<void>((resolve) => {
-      this.#onReceived = resolve;
+    let notify: () => void = () => undefined;
+    const answered = new Promise<true>((resolve) => {
+      notify = () => {
+        resolve(true);
+      };
     });
-    await withTimeout(timer, maxSilenceMs, answered);
-    this.#onReceived = undefined;
-    if (this.#lastReceivedMs < pingedAtMs) this.#terminateStalled();
+    this.#onReceived.add(notify);
+    const isAnswered = await withTimeout(timer, timeoutMs, answered);
+    this.#onReceived.delete(notify);
+    if (!isAnswered) this.#terminateStalled();
     return this.#isOpen;
   }
 
