An answer with a status that HTTP does not have is no answer

Statuses below 100 ended in a failed assertion of the HTTP client library, and a peer's answer frame with any number was delivered.

Cause: nothing checked whether a status exists. The library's parser takes any three digits, the check of heads took all below 200 for interim, and frames any whole number.

Change: RFC 9110, section 15, has statuses from 100 to 599. The head of any other answer is rejected before the library looks at it, towards targets, probes and the store, and its connection is closed. A peer's answer that is not final, and a kept one that is handed over, count as unknown: 502. An idempotent call may be sent again, one that runs at most once is not.

--- a/contract/mod.ts
+++ b/contract/mod.ts
@@ -10,6 +10,7 @@
  *
  * @module
  */
+export * from './answer_status.ts';
 export * from './body.ts';
 export * from './buffer_if_small.ts';
 export * from './call.ts';
--- a/idempotency/handover.ts
+++ b/idempotency/handover.ts
@@ -1,5 +1,11 @@
 import { ok, err } from 'neverthrow';
-import { RefusalReason, BufferedBody, makeUnknownRefusal, type Headers } from '../contract/mod.ts';
+import {
+  RefusalReason,
+  BufferedBody,
+  isFinalStatus,
+  makeUnknownRefusal,
+  type Headers,
+} from '../contract/mod.ts';
 import { KeyIssuer, type KeyRecord, type KeyedResult } from './key_issuer.ts';
 
 /** A kept answer, as handed over to a successor. */
@@ -72,7 +78,9 @@
 
 function importRecord(record: HandoverRecord): KeyRecord {
   const { digest, expiresAtMs, bytes, answer } = record;
-  const finalResult: KeyedResult = answer
+  // A daemon of the build before may have kept an answer with any status.
+  const isValid = answer !== undefined && isFinalStatus(answer.status);
+  const finalResult: KeyedResult = isValid
     ? ok({ ...answer, body: new BufferedBody(answer.body), load: undefined })
     : err(
         makeUnknownRefusal(RefusalReason.AnswerLost, 'the answer was lost when its owner stopped'),
--- a/link/metered_client.ts
+++ b/link/metered_client.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import { Client, Pool, buildConnector, errors, util, type Dispatcher } from 'undici';
+import { isFinalStatus, isHttpStatus } from '../contract/mod.ts';
 import { PausedConnection } from './paused_connection.ts';
 
 /** Largest header section of an answer, in bytes; the library's default. */
@@ -13,9 +14,6 @@
 /** Additional bytes for each byte of content, as in chunks of a single byte. */
 const OVERHEAD_PER_CONTENT_BYTE = 16;
 
-/** Lowest status of an answer that is not interim. */
-const FINAL_STATUS = 200;
-
 /** Status and headers of an answer. */
 export interface AnswerHead {
   status: number;
@@ -39,7 +37,7 @@
   onSocket?: (socket: Socket) => void;
 };
 
-/** Thrown when the head of an answer is rejected; its connection is closed. */
+/** Thrown when the head of an answer is rejected, or has a status that HTTP does not; its connection is closed. */
 export class RejectedHeadError extends Error {}
 
 /** A {@linkcode Pool} whose connections are {@linkcode MeteredClient}s. */
@@ -235,7 +233,9 @@
   }
 
   #findProblem(status: number, headers: Buffer[]): string | undefined {
-    if (status < FINAL_STATUS) return undefined;
+    // The library asserts that a status is 100 or more, and passes on those above 599.
+    if (!isHttpStatus(status)) return `status ${status} is not of HTTP`;
+    if (!isFinalStatus(status)) return undefined;
     return this.#checkHead?.({ status, headers: util.parseHeaders(headers) });
   }
 
--- a/link/peer_link.ts
+++ b/link/peer_link.ts
@@ -6,6 +6,7 @@
   RefusalReason,
   Repeatability,
   BufferedBody,
+  isFinalStatus,
   isNotRun,
   makeNotRunRefusal,
   runsAtMostOnce,
@@ -37,6 +38,7 @@
 import { executeAttempt, toAttemptFailure } from './execute_attempt.ts';
 import {
   FrameKind,
+  type AnswerFrame,
   type CallFrame,
   type Frame,
   type HelloFrame,
@@ -292,18 +294,9 @@
       case FrameKind.Settle:
         void this.#serveSettle(frame);
         break;
-      case FrameKind.Answer: {
-        this.#services.onPeerVersion(this, frame.version);
-        const incoming = frame.body
-          ? undefined
-          : this.#receiveBody(this.#sentExchanges.get(frame.stream)?.exchange);
-        this.#resolveExchange(
-          frame.stream,
-          ok(fromAnswerFrame(frame, incoming)),
-          incoming !== undefined,
-        );
+      case FrameKind.Answer:
+        this.#receiveAnswer(frame);
         break;
-      }
       case FrameKind.Failure:
         this.#services.onPeerVersion(this, frame.version);
         this.#resolveExchange(frame.stream, err(fromFailureFrame(frame)), false);
@@ -332,6 +325,22 @@
     }
   }
 
+  #receiveAnswer(frame: AnswerFrame): void {
+    this.#services.onPeerVersion(this, frame.version);
+    const { stream, status, body } = frame;
+    if (!isFinalStatus(status)) {
+      // A daemon of the build before passes on any status that its target sends.
+      if (!body) this.sendFrame({ kind: FrameKind.Cancel, stream });
+      this.#resolveExchange(stream, err(makeMalformedFailure(status)), false);
+      return;
+    }
+    const incoming = body
+      ? undefined
+      : this.#receiveBody(this.#sentExchanges.get(stream)?.exchange);
+    const answer = fromAnswerFrame(frame, incoming);
+    this.#resolveExchange(stream, ok(answer), incoming !== undefined);
+  }
+
   #isLocalStream(stream: number): boolean {
     return stream % 2 === this.#nextStream % 2;
   }
@@ -514,3 +523,9 @@
   const refusal = makeUnknownRefusal(RefusalReason.AnswerLost, detail);
   return { kind: FailureKind.Lost, refusal, load: undefined };
 }
+
+function makeMalformedFailure(status: number): AttemptFailure {
+  const detail = `the peer passed on status ${status}, which is not final`;
+  const refusal = makeUnknownRefusal(RefusalReason.AnswerLost, detail);
+  return { kind: FailureKind.Unknown, refusal, load: undefined };
+}
--- a/tap-snapshots/dist/daemon/bad_input_test.js.test.cjs
+++ b/tap-snapshots/dist/daemon/bad_input_test.js.test.cjs
@@ -14,7 +14,7 @@
   "/boards/header-name: 502",
   "/boards/status-000: 502",
   "/boards/status-099: 502",
-  "/boards/status-999: 999 61",
+  "/boards/status-999: 502",
   "/boards/status-101: 502",
   "/boards/bad-length: 502",
   "/boards/no-content: 204",
