Reading the platform, and when to, leaves the document distributor

What callers see does not change. The distributor held two tasks: to keep this daemon current (when to watch, when to read in place of silent watchers), and to pass documents on over links. The instances of a small cluster were listed by the same lines in three tests; the fakes list them now.

--- a/distribution/absent_watchers_test.ts
+++ b/distribution/absent_watchers_test.ts
@@ -6,6 +6,7 @@
   NetworkPathState,
   POISON_HEADER,
   makeExampleConfiguration,
+  makeExampleInstances,
   type ClusterMember,
 } from '../fakes/mod.ts';
 import { InstanceStage, type Instance } from '../instance/mod.ts';
@@ -22,13 +23,7 @@
 const CRASHING_CALL = { pathAndQuery: '/halls/9', deadlineMs: 400 };
 
 function startCluster(): Promise<InProcessCluster> {
-  const instances = EXAMPLE_DOMAINS.flatMap((failureDomain) =>
-    Array.from({ length: DAEMONS_PER_DOMAIN }, (_, index) => ({
-      id: `boards-${failureDomain}-${index}`,
-      pool: 'boards',
-      failureDomain,
-    })),
-  );
+  const instances = makeExampleInstances(DAEMONS_PER_DOMAIN);
   const configuration = makeExampleConfiguration();
   const quarantine = { coincidences: 8, blockMs: 60_000 };
   return InProcessCluster.start({ configuration, instances, settings: { quarantine } });
@@ -97,15 +92,20 @@
   },
 };
 
-function describeOutdated(
+/** Lists the undisturbed daemons that do not know what they have to know. */
+function describeUnaware(
   { members }: InProcessCluster,
   disturbed: readonly ClusterMember[],
+  isUnaware: (status: ClusterMember['daemon']['status']) => boolean,
 ): string {
-  const outdated = members
-    .filter((member) => !disturbed.includes(member))
-    .filter(({ daemon }) => daemon.status.configurationVersion < 2)
+  const unaware = members
+    .filter((member) => !disturbed.includes(member) && isUnaware(member.daemon.status))
     .map(({ instance }) => instance.id);
-  return outdated.join(', ') || 'none';
+  return unaware.join(', ') || 'none';
+}
+
+function isOutdated({ configurationVersion }: ClusterMember['daemon']['status']): boolean {
+  return configurationVersion < 2;
 }
 
 // Guards against daemons that go on under an old version because both of their watchers are away.
@@ -118,7 +118,7 @@
       const disturbed = cause(cluster);
       cluster.platform.publish(makeExampleConfiguration({ version: 2 }));
       await cluster.timer.advance(IN_FORCE_LIMIT_MS);
-      seen.push(`${momentMs} ms: outdated ${describeOutdated(cluster, disturbed)}`);
+      seen.push(`${momentMs} ms: outdated ${describeUnaware(cluster, disturbed, isOutdated)}`);
     }
     t.matchSnapshot(seen, name);
   }
@@ -137,7 +137,7 @@
     t.comment(`${readsPerSecond} reads a second of ${cluster.members.length} daemons`);
     cluster.platform.publish(makeExampleConfiguration({ version: 2 }));
     await cluster.timer.advance(100);
-    seen.push(`${momentMs} ms: outdated after 100 ms: ${describeOutdated(cluster, [])}`);
+    seen.push(`${momentMs} ms: outdated after 100 ms: ${describeUnaware(cluster, [], isOutdated)}`);
   }
   t.matchSnapshot(seen, 'outdated');
 });
@@ -153,11 +153,12 @@
       const headers = [[POISON_HEADER, CrashStep.DuringRun]] as const;
       await cluster.callToCompletion('boards-norte-a-0', { ...CRASHING_CALL, headers });
       await cluster.timer.advance(REPORT_LIMIT_MS);
-      const unaware = cluster.members
-        .filter((member) => !disturbed.includes(member))
-        .filter(({ daemon }) => daemon.status.suspectedCalls === 0)
-        .map(({ instance }) => instance.id);
-      seen.push(`${momentMs} ms: unaware ${unaware.join(', ') || 'none'}`);
+      const unaware = describeUnaware(
+        cluster,
+        disturbed,
+        ({ suspectedCalls }) => suspectedCalls === 0,
+      );
+      seen.push(`${momentMs} ms: unaware ${unaware}`);
     }
     t.matchSnapshot(seen, name);
   }
--- a/distribution/change_in_force_test.ts
+++ b/distribution/change_in_force_test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import { EXAMPLE_DOMAINS, InProcessCluster, makeExampleConfiguration } from '../fakes/mod.ts';
+import { InProcessCluster, makeExampleConfiguration, makeExampleInstances } from '../fakes/mod.ts';
 
 const DAEMONS_PER_DOMAIN = 4;
 /** Time after a disruption within which all changes of before must be in force, in milliseconds. */
@@ -8,13 +8,7 @@
 const IN_FORCE_LIMIT_MS = 2_500;
 
 function startCluster(): Promise<InProcessCluster> {
-  const instances = EXAMPLE_DOMAINS.flatMap((failureDomain) =>
-    Array.from({ length: DAEMONS_PER_DOMAIN }, (_, index) => ({
-      id: `boards-${failureDomain}-${index}`,
-      pool: 'boards',
-      failureDomain,
-    })),
-  );
+  const instances = makeExampleInstances(DAEMONS_PER_DOMAIN);
   return InProcessCluster.start({ configuration: makeExampleConfiguration(), instances });
 }
 
--- a/distribution/document_distributor.ts
+++ b/distribution/document_distributor.ts
@@ -18,38 +18,15 @@
 } from '../configuration/mod.ts';
 import type { RandomSource } from '../random/mod.ts';
 import { sleep, type TimerService } from '../timer/mod.ts';
-import { DOCUMENT_KINDS, PlatformReader } from './platform_reader.ts';
+import { DOCUMENT_KINDS } from './platform_reader.ts';
+import { PlatformWatch } from './platform_watch.ts';
 import { needsReconciliation, reconcileWithPeer } from './reconcile_with_peer.ts';
-import { CONFIRMATION_LIFETIME_MS, WatcherRoster } from './watcher_roster.ts';
+import type { WatcherRoster } from './watcher_roster.ts';
 
-/** Longest wait for the first version of a document, in milliseconds. */
-const FIRST_VERSION_WAIT_MS = 3_000;
-/**
- * Interval at which the watches of a document end if nothing changes, in milliseconds. Limits the time
- * for which a connection that no longer delivers anything hides changes.
- */
-const WATCH_PERIOD_MS = 2_600;
-/** Time by which the watches of each document end before those of the other, in milliseconds. */
-const WATCH_LEAD_MS: Readonly<Record<DocumentKind, number>> = {
-  [DocumentKind.Configuration]: 0,
-  [DocumentKind.Fleet]: WATCH_PERIOD_MS / 2,
-};
-/** Pause between two watches, in milliseconds; changes in quick succession cost one read. */
-const WATCH_GAP_MS = 100;
-/**
- * Shortest interval between the start of a failed read and the next one, in milliseconds; a random
- * delay is added. A watch without an answer has taken longer, and is repeated at once.
- */
-const RETRY_INTERVAL_MS = 500;
 /** Interval between two checks of the links to the watchers, in milliseconds. */
 const LINK_CHECK_PERIOD_MS = 1_000;
 /** Time without a frame after which a link to a watcher is verified, in milliseconds. */
 const MAX_LINK_SILENCE_MS = 1_000;
-/**
- * Time by which the deputies of silent watchers read the platform before the other daemons, in
- * milliseconds; a random delay is added.
- */
-const DEPUTY_HEAD_START_MS = 250;
 /** Age up to which an answer of the platform is confirmed to a daemon that starts to follow, in milliseconds. */
 const FRESH_ANSWER_MS = 300;
 /** Largest number of daemons in a failure domain that are tried when the domain is asked for updates. */
@@ -93,36 +70,30 @@
  */
 export class DocumentDistributor {
   readonly #options: DocumentDistributorOptions;
-  readonly #reader: PlatformReader;
+  readonly #watch: PlatformWatch;
   readonly #followers = new Map<PeerLink, Follower>();
   readonly #followedLinks = new Set<PeerLink>();
   readonly #reactedAtMs = new WeakMap<PeerLink, number>();
   readonly #stop = new AbortController();
-  /** Aborted when this daemon begins to watch the platform, or stops. */
-  #idle = new AbortController();
-  /** Time at which a watcher, or the platform itself, last confirmed the documents in force. */
-  #confirmedAtMs: number;
-  /** Time at which the platform last answered. */
-  #answeredAtMs = -Infinity;
 
   /** @param options See {@linkcode DocumentDistributorOptions}. */
   constructor(options: DocumentDistributorOptions) {
     this.#options = options;
-    this.#confirmedAtMs = options.timer.now();
-    this.#reader = new PlatformReader({
+    this.#watch = new PlatformWatch({
       ...options,
       offer: (offered) => {
         this.#offer(offered);
       },
       onCurrent: () => {
-        this.#confirm();
+        for (const link of this.followers) this.#sendConfirmation(link);
       },
+      follow: (deputies) => void this.#followAll(deputies),
     });
   }
 
   /** @returns Number of reads and watches of the platform since the start. */
   get platformReads(): number {
-    return this.#reader.reads;
+    return this.#watch.reads;
   }
 
   /** @returns Open links to the daemons that follow this one. */
@@ -130,18 +101,16 @@
     return [...this.#followers.keys()].filter(({ isOpen }) => isOpen);
   }
 
-  /** Starts one task for each document, one for the links to the watchers, and one to replace these. */
+  /** Starts the tasks that read the platform, and one for the links to the watchers. */
   start(): void {
-    this.#confirmedAtMs = this.#options.timer.now();
-    for (const kind of DOCUMENT_KINDS) void this.#watch(kind);
+    this.#watch.start();
     void this.#follow();
-    void this.#replaceSilentWatchers();
   }
 
   /** Stops all tasks. */
   close(): void {
     this.#stop.abort();
-    this.#idle.abort();
+    this.#watch.close();
   }
 
   /**
@@ -150,7 +119,7 @@
    * @returns Whether the platform answered both reads.
    */
   readOnce(): Promise<boolean> {
-    return this.#reader.readBoth();
+    return this.#watch.readOnce();
   }
 
   /**
@@ -158,13 +127,8 @@
    *
    * @returns Whether the platform answered all watches.
    */
-  async waitForMissing(): Promise<boolean> {
-    const { store } = this.#options;
-    const missing = DOCUMENT_KINDS.filter((kind) => store.versionOf(kind) === 0);
-    const reads = await Promise.all(
-      missing.map((kind) => this.#reader.read(kind, FIRST_VERSION_WAIT_MS)),
-    );
-    return reads.every(Boolean);
+  waitForMissing(): Promise<boolean> {
+    return this.#watch.waitForMissing();
   }
 
   /**
@@ -196,8 +160,7 @@
         if (this.#isBehind(frame.configuration, frame.fleet)) {
           if (this.#mayReact(link)) this.requestUpdates(link);
         } else if (this.#isConfirmation(frame) && this.#followedLinks.has(link)) {
-          this.#confirmedAtMs = this.#options.timer.now();
-          this.#options.roster.recordConfirmation(link.peer.instanceId);
+          this.#watch.recordConfirmation(link.peer.instanceId);
         }
         break;
       default:
@@ -227,42 +190,13 @@
     return true;
   }
 
-  async #watch(kind: DocumentKind): Promise<void> {
-    const { timer, random } = this.#options;
-    const { signal } = this.#stop;
-    while (!signal.aborted) {
-      if (!this.#isWatching) {
-        const delayMs = LINK_CHECK_PERIOD_MS + random.below(LINK_CHECK_PERIOD_MS);
-        await sleep(timer, delayMs, { signal: this.#idle.signal });
-        continue;
-      }
-      const startMs = timer.now();
-      const isAnswered = await this.#reader.read(kind, this.#getWatchMs(kind));
-      const elapsedMs = timer.now() - startMs;
-      if (isAnswered) await this.#sleepWithJitter(WATCH_GAP_MS);
-      else if (elapsedMs < RETRY_INTERVAL_MS) await this.#sleepWithJitter(RETRY_INTERVAL_MS);
-    }
-  }
-
-  /** Whether this daemon watches the platform; all daemons do while no instance is known. */
-  get #isWatching(): boolean {
-    return this.#options.getFleet().size === 0 || this.#options.roster.isWatcher;
-  }
-
-  /** Returns the wait of a watch that starts now, so that watches of the two documents end in turn. */
-  #getWatchMs(kind: DocumentKind): number {
-    const phaseMs = this.#options.timer.now() + WATCH_LEAD_MS[kind];
-    return WATCH_PERIOD_MS - (phaseMs % WATCH_PERIOD_MS);
-  }
-
   async #follow(): Promise<void> {
     const { timer, roster } = this.#options;
     const { signal } = this.#stop;
     for (let round = 0; !signal.aborted; round += 1) {
       roster.prune();
       await this.#followAll(roster.watchers);
-      if (this.#reader.isFailing && (roster.isWatcher || !this.#isConfirmed))
-        await this.#askOtherDomains();
+      if (this.#watch.needsPeers) await this.#askOtherDomains();
       this.#removeClosedLinks();
       const links = [...this.#followedLinks];
       // One link in each round is enough, as a working link to one watcher brings all updates.
@@ -282,57 +216,6 @@
     this.requestUpdates(link, true);
   }
 
-  /** Whether the documents in force were current a short time ago. */
-  get #isConfirmed(): boolean {
-    return this.#options.timer.now() - this.#confirmedAtMs < CONFIRMATION_LIFETIME_MS;
-  }
-
-  /** Waits until confirmations are missing, and then reads the platform in place of the watchers. */
-  async #replaceSilentWatchers(): Promise<void> {
-    const { timer } = this.#options;
-    const { signal } = this.#stop;
-    while (!signal.aborted) {
-      const leftMs = this.#confirmedAtMs + CONFIRMATION_LIFETIME_MS - timer.now();
-      if (leftMs > 0) await sleep(timer, leftMs, { signal });
-      else await this.#readForWatchers();
-    }
-  }
-
-  async #readForWatchers(): Promise<void> {
-    const { timer, log, roster } = this.#options;
-    const silentMs = Math.round(timer.now() - this.#confirmedAtMs);
-    const watchers = roster.watchers.map(({ id }) => id).join(',');
-    log.write(Event.WatchersSilent, { silentMs, watchers });
-    if (!roster.isDeputy) {
-      void this.#followAll(roster.deputies);
-      await this.#sleepWithJitter(DEPUTY_HEAD_START_MS);
-      if (this.#isConfirmed) return;
-    }
-    // A watcher whose reads fail repeats them already.
-    const isRetrying = roster.isWatcher && this.#reader.isFailing;
-    if (isRetrying || !(await this.#reader.readBoth())) {
-      await this.#sleepWithJitter(CONFIRMATION_LIFETIME_MS);
-      return;
-    }
-    this.#confirmedAtMs = timer.now();
-    if (roster.isWatcher) return;
-    // The platform answers, so the watchers are at fault.
-    if (roster.replaceWatchers()) this.#startWatching();
-  }
-
-  #startWatching(): void {
-    this.#options.log.write(Event.WatchTakenOver, {});
-    this.#idle.abort();
-    this.#idle = new AbortController();
-  }
-
-  /** Records that the documents in force are current, and confirms it to the followers. */
-  #confirm(): void {
-    this.#answeredAtMs = this.#options.timer.now();
-    this.#confirmedAtMs = this.#answeredAtMs;
-    for (const link of this.followers) this.#sendConfirmation(link);
-  }
-
   #sendConfirmation(link: PeerLink): void {
     link.sendFrame({ kind: FrameKind.Versions, ...this.#getVersions() });
   }
@@ -425,8 +308,7 @@
     if (follow) this.#followers.set(link, { sentVersions });
     this.#sendUpdates(link, { sentVersions });
     this.#sendVersions(link);
-    const answerAgeMs = this.#options.timer.now() - this.#answeredAtMs;
-    if (follow && answerAgeMs <= FRESH_ANSWER_MS) this.#sendConfirmation(link);
+    if (follow && this.#watch.answerAgeMs <= FRESH_ANSWER_MS) this.#sendConfirmation(link);
     // A watcher that has restarted may know less than its followers.
     if (this.#isBehind(configuration, fleet) && this.#mayReact(link)) this.requestUpdates(link);
   }
@@ -476,9 +358,4 @@
     for (const link of this.#followers.keys()) if (!link.isOpen) this.#followers.delete(link);
     for (const link of this.#followedLinks) if (!link.isOpen) this.#followedLinks.delete(link);
   }
-
-  #sleepWithJitter(delayMs: number): Promise<void> {
-    const { timer, random } = this.#options;
-    return sleep(timer, delayMs + random.below(delayMs), { signal: this.#stop.signal });
-  }
 }
--- a/fakes/example_configuration.ts
+++ b/fakes/example_configuration.ts
@@ -48,3 +48,21 @@
     ],
   });
 }
+
+/**
+ * Lists instances of one pool in all failure domains of the example configuration.
+ *
+ * @param perDomain Number of instances in each failure domain.
+ * @returns The instances, named by pool, failure domain and number.
+ */
+export function makeExampleInstances(
+  perDomain: number,
+): { id: string; pool: string; failureDomain: string }[] {
+  return EXAMPLE_DOMAINS.flatMap((failureDomain) =>
+    Array.from({ length: perDomain }, (_, index) => ({
+      id: `boards-${failureDomain}-${index}`,
+      pool: 'boards',
+      failureDomain,
+    })),
+  );
+}
--- a/matrix/distribution_case.ts
+++ b/matrix/distribution_case.ts
@@ -1,8 +1,8 @@
 import {
-  EXAMPLE_DOMAINS,
   PlatformState,
   InProcessCluster,
   makeExampleConfiguration,
+  makeExampleInstances,
   type FrameInTransit,
   type ClusterMember,
 } from '../fakes/mod.ts';
@@ -73,13 +73,7 @@
 }
 
 function startCluster(): Promise<InProcessCluster> {
-  const instances = EXAMPLE_DOMAINS.flatMap((failureDomain) =>
-    Array.from({ length: DAEMONS_PER_DOMAIN }, (_, index) => ({
-      id: `boards-${failureDomain}-${index}`,
-      pool: 'boards',
-      failureDomain,
-    })),
-  );
+  const instances = makeExampleInstances(DAEMONS_PER_DOMAIN);
   return InProcessCluster.start({ configuration: makeExampleConfiguration(), instances });
 }
 
