--- a/review/shared-3/cluster.ts
+++ b/review/shared-3/cluster.ts
@@ -44,6 +44,11 @@
   'sur-a': 'ar-sur',
 };
 const PORT_RANGE = 16;
+const children = new Set<ChildProcess>();
+// Also if this process ends early.
+process.once('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
 /** Whether the disruption happens. */
 export const HAS_DISRUPTION = process.env.TROUBLE !== '0';
 
@@ -209,6 +214,7 @@
     const log = createWriteStream(this.#logFile, { flags: 'a' });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
+    children.add(child);
     this.#child = child;
   }
 
