--- a/review/14/main.ts
+++ b/review/14/main.ts
@@ -1,89 +1,87 @@
 /**
- * An upload that crashes each backend that begins to run it, and comes again.
+ * A planned stop of a daemon, for which SIGTERM comes twice.
  *
  * @module
  */
-import { HAS_DISRUPTION, Journal, runCase, sleep, STABLE_WINDOW_MS } from '../shared-3/cluster.ts';
+import { Agent } from 'node:http';
+import {
+  GRACE_MS,
+  HAS_DISRUPTION,
+  Journal,
+  runCase,
+  sleep,
+  STABLE_WINDOW_MS,
+} from '../shared-3/cluster.ts';
 import type { BackendRequest, Cluster, ClusterOptions } from '../shared-3/cluster.ts';
-import { describe, makeParts, send } from '../shared-3/client.ts';
+import { describe, send } from '../shared-3/client.ts';
 
-const ATTEMPTS = 16;
-const PAUSE_BETWEEN_MS = 1_500;
-const PARTS = 40;
-const PART_BYTES = 10_000;
-/** The upload takes 1.3 s, of the 2 s that its route has. */
-const PAUSE_MS = 30;
-const DEADLINE_MS = 2_000;
-/** The backend is back after some seconds. */
-const RESTART_MS = 2_500;
-/** The rule breaks with more retries than this. */
-const ALLOWED_RETRIES = 3;
+const WORK_MS = 600;
+const BETWEEN_REQUESTS_MS = 50;
+/** Requests sent before the signal. */
+const REQUESTS = 30;
+/** Time between the two signals. */
+const BETWEEN_SIGNALS_MS = 200;
+const DEADLINE_MS = 3_000;
 
 const journal = new Journal();
-const crashesMs: number[] = [];
-const arrivals: { id: string; atMs: number }[] = [];
+const passedOn = new Set<string>();
+let lost = 0;
 
-/** Begins to work as soon as bytes of the body arrive. */
 function onRequest({ req, res, backend, id }: BackendRequest): void {
-  arrivals.push({ id, atMs: journal.nowMs });
-  journal.write(`backend ${backend.host} (${backend.instanceId}) begins to run ${id}`);
-  req.once('data', () => {
-    if (!HAS_DISRUPTION) return;
-    crashesMs.push(journal.nowMs);
-    journal.write(`backend ${backend.host} crashes`);
-    backend.crash();
-    void sleep(RESTART_MS).then(() => backend.start());
-  });
+  passedOn.add(id);
+  journal.write(`backend ${backend.host} runs ${id}`);
   req.resume();
-  req.on('error', () => undefined);
-  req.on('end', () => {
+  void sleep(WORK_MS).then(() => {
     backend.answer(res, `recorded ${id}`);
   });
 }
 
 const options: ClusterOptions = {
-  services: ['results', 'results', 'results', 'results', 'boards', 'boards'],
+  services: ['results', 'results', 'boards'],
   routes: [
     {
       name: 'r-result',
       prefix: '/result/',
-      kind: 'safe',
+      kind: 'unsafe',
       service: 'results',
-      timeout: '2s',
-      target_latency: '1s',
+      timeout: '3s',
+      target_latency: '2s',
       max_attempts: 2,
     },
   ],
-  slots: 6,
-  network: 43,
+  slots: 12,
+  network: 44,
   onRequest,
 };
 
 async function play({ daemons }: Cluster): Promise<boolean> {
-  const boards = daemons.slice(4);
+  const entry = daemons[2];
+  if (!entry) throw new Error('no daemons');
+  const agent = new Agent({ keepAlive: true });
   await sleep(STABLE_WINDOW_MS + 500);
-  const parts = makeParts('poison', PARTS, PART_BYTES);
   const pending: Promise<void>[] = [];
-  for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
-    const id = `poison-${attempt}`;
-    const daemon = boards[attempt % boards.length];
-    if (!daemon) throw new Error('no daemons');
-    journal.write(`client at ${daemon.host} sends ${id}`);
-    const request = { daemon, id, path: '/result/7', deadlineMs: DEADLINE_MS, parts };
-    const answer = send({ ...request, method: 'POST', pauseMs: PAUSE_MS });
-    const note = answer.then((received) => {
-      journal.write(`client at ${daemon.host} has the answer of ${id}: ${describe(received)}`);
+  for (let index = 0; index < REQUESTS; index += 1) {
+    const id = `result-${index}`;
+    const request = { daemon: entry, id, path: '/result/7', deadlineMs: DEADLINE_MS, agent };
+    const answer = send({ ...request, method: 'GET' }).then((received) => {
+      journal.write(`client at ${entry.host} has the answer of ${id}: ${describe(received)}`);
+      if (received.error !== undefined && passedOn.has(id)) lost += 1;
     });
-    pending.push(note);
-    await sleep(PAUSE_BETWEEN_MS);
+    pending.push(answer);
+    await sleep(BETWEEN_REQUESTS_MS);
+  }
+  journal.write(`SIGTERM to ${entry.host}`);
+  entry.signal('SIGTERM');
+  await sleep(BETWEEN_SIGNALS_MS);
+  if (HAS_DISRUPTION) {
+    journal.write(`SIGTERM to ${entry.host} again`);
+    entry.signal('SIGTERM');
   }
   await Promise.all(pending);
-  const thirdMs = crashesMs[2] ?? Infinity;
-  const late = arrivals.filter(({ atMs }) => atMs > thirdMs + STABLE_WINDOW_MS);
-  const ids = new Set(late.map(({ id }) => id));
-  journal.write(`crashes: ${crashesMs.length}`);
-  journal.write(`late retries that reached backends, count ${ids.size}: ${[...ids].join(' ')}`);
-  return ids.size <= ALLOWED_RETRIES;
+  await entry.waitForExit(GRACE_MS);
+  agent.destroy();
+  journal.write(`requests passed on whose connection ended without an answer, count: ${lost}`);
+  return lost === 0;
 }
 
 await runCase(options, play, journal);
