--- a/review/shared-3/cluster.ts
+++ b/review/shared-3/cluster.ts
@@ -36,7 +36,10 @@
   probes_per_s: 60,
 };
 export const STABLE_WINDOW_MS = 4_000;
-export const GRACE_MS = 6_000;
+/** Three heartbeats, after which the entry of a silent backend is removed. */
+const EXPIRY_MS = 4_500;
+/** Time for which a backend is cold after a start during traffic. */
+const COLD_START_MS = 3_000;
 export const HOST = 'review.example';
 const ZONES: Readonly<Record<string, string>> = {
   'centro-a': 'ar-centro',
@@ -91,6 +94,7 @@
   readonly slots: number;
   #instanceId = '';
   #starts = 0;
+  #coldUntilMs = 0;
   #server: ReturnType<typeof createServer> | undefined;
   readonly #sockets = new Set<Socket>();
   readonly #onRequest: (request: BackendRequest) => void;
@@ -131,6 +135,17 @@
     });
     this.#server = server;
     await new Promise<void>((resolve) => server.listen(this.port, this.host, resolve));
+    // The first start is before the traffic.
+    const coldMs = this.#starts > 1 ? COLD_START_MS : 0;
+    const born = Date.now();
+    this.#coldUntilMs = born + coldMs;
+    this.#register(born, coldMs);
+    if (coldMs === 0) return;
+    await sleep(coldMs);
+    if (this.#server === server) this.#register(born, 0);
+  }
+
+  #register(born: number, coldMs: number): void {
     this.#store.put(`servers/${this.#instanceId}`, {
       service: this.service,
       address: `${this.host}:${this.port}`,
@@ -138,24 +153,25 @@
       version: 'v1',
       slots: this.slots,
       state: 'ready',
-      cold_remaining: '0ms',
+      cold_remaining: `${coldMs}ms`,
       sequence: 1,
-      born: Date.now(),
+      born,
     });
   }
 
-  /** Ends the incarnation at once: all its connections are reset. */
+  /** Ends the incarnation at once: all its connections are reset, and its entry expires later. */
   crash(): void {
+    const key = `servers/${this.#instanceId}`;
+    if (this.#server) {
+      void sleep(EXPIRY_MS).then(() => {
+        this.#store.remove(key);
+      });
+    }
     this.#server?.close();
     this.#server = undefined;
     for (const socket of this.#sockets) socket.resetAndDestroy();
   }
 
-  /** Removes the entry of the present incarnation, as the store does after three missed heartbeats. */
-  expire(): void {
-    this.#store.remove(`servers/${this.#instanceId}`);
-  }
-
   /** Answers with success. */
   answer(res: ServerResponse, body: Buffer | string): void {
     res.setHeader('Response-Signature', this.#instanceId);
@@ -167,6 +183,8 @@
     res.setHeader('Instance-Id', this.#instanceId);
     res.setHeader('Instance-Load', `${this.running},0,${this.slots},100`);
     if (req.url === '/health') {
+      const coldMs = this.#coldUntilMs - Date.now();
+      if (coldMs > 0) res.setHeader('Cold-Remaining', `${coldMs}ms`);
       res.writeHead(200).end();
       return;
     }
@@ -177,6 +195,15 @@
       res.writeHead(421, { 'Not-Executed': '1' }).end();
       return;
     }
+    if (this.running >= this.slots) {
+      res.writeHead(503, { 'Not-Executed': '1' }).end();
+      return;
+    }
+    this.running += 1;
+    const server = this.#server;
+    res.once('close', () => {
+      if (this.#server === server) this.running -= 1;
+    });
     this.#onRequest({ req, res, backend: this, id });
   }
 }
